--- a/cmake/medlar.cmake
+++ b/cmake/medlar.cmake
@@ -5,7 +5,6 @@
 find_package(gflags REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(yaml-cpp REQUIRED)
-find_package(GTest REQUIRED)
 find_package(OpenSSL REQUIRED)
 
 add_library(medlar_options INTERFACE)
@@ -22,6 +21,10 @@
     endif()
 endif()
 
+if(MEDLAR_TESTS)
+    find_package(GTest REQUIRED)
+endif()
+
 # medlar_add_library(NAME SOURCES … LINKS …): a static library in its own folder.
 function(medlar_add_library name)
     cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
--- a/src/libs/configuration/routetable.h
+++ b/src/libs/configuration/routetable.h
@@ -7,7 +7,9 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace Medlar::Configuration {
 
@@ -56,11 +58,66 @@
     return name;
 }
 
+/*! A service that gets a share of a route's requests. */
+struct ServicePart
+{
+    std::string service;
+    double weight = 1.0;
+};
+
+/*! A route that callers select by the Host header and the longest path prefix. */
+struct PathRoute
+{
+    Route route;            //!< its service is the first part's
+    std::string pathPrefix; //!< begins and ends with '/'
+    std::vector<ServicePart> parts;
+    bool idempotent = false;
+    unsigned priority = 0;                      //!< 0 is the most urgent
+    std::chrono::milliseconds targetLatency{0}; //!< a later answer is worth less
+    unsigned maxAttempts = 1;                   //!< BackendServers that may run one request
+};
+
+/*! What the configuration says of the BackendServers of a service. */
+struct ServiceDefinition
+{
+    std::string name;
+    bool keyed = false;
+    std::string healthPath;
+    std::uint32_t maxConnections = 120;    //!< of one BackendServer, from all callers
+    std::chrono::milliseconds coldTime{0}; //!< after a start
+    double coldRequestsPerSecond = 0.0;    //!< that a cold BackendServer bears
+};
+
+/*! What callers may send, and how long they may take. */
+struct CallerLimits
+{
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint64_t maxBodyBytes = std::uint64_t(1024) * 1024;
+    std::chrono::milliseconds headerTimeout{3000};
+    std::chrono::milliseconds idleTimeout{15000};
+};
+
 /*! All routes of one configuration version. Immutable once published to traffic threads. */
 struct RouteTable
 {
     std::uint64_t version = 0;
     std::map<std::pair<std::string, std::string>, Route> routes; //!< by account and route name
+    std::map<std::string, std::vector<PathRoute>> hosts; //!< by host in lower case; longest first
+    std::map<std::string, ServiceDefinition> services;   //!< of the routes of hosts
+    CallerLimits callerLimits;
+
+    /*! The route of \a host (in lower case) with the longest prefix of \a path. */
+    const PathRoute *findByPath(const std::string &host, std::string_view path) const
+    {
+        const auto found = hosts.find(host);
+        if (found == hosts.end())
+            return nullptr;
+        for (const PathRoute &candidate : found->second) {
+            if (path.substr(0, candidate.pathPrefix.size()) == candidate.pathPrefix)
+                return &candidate;
+        }
+        return nullptr;
+    }
 
     const Route *find(const std::string &account, const std::string &route) const
     {
--- /dev/null
+++ b/src/libs/gate/backendgate.cpp
@@ -0,0 +1,213 @@
+#include "backendgate.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Medlar::Gate {
+
+namespace {
+
+// Weight of one request in the mean service time.
+constexpr double ServiceShare = 0.05;
+// Starts of a cold BackendServer are counted over this window.
+constexpr std::chrono::seconds ColdWindow{1};
+// After the BackendServer declined a request, that many are sent as it ran then.
+constexpr std::chrono::milliseconds ShedPause{300};
+// A request is begun if this share of the mean service time is left for it.
+constexpr double MinServiceLeft = 0.6;
+// Waiting requests for each slot. Later ones would be served late even if the time was left.
+constexpr std::size_t MaxWaitingPerSlot = 12;
+
+Base::Duration scaled(Base::Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, Base::Duration::period>(duration) * factor);
+}
+
+} // namespace
+
+std::string_view toString(DeclineReason reason)
+{
+    switch (reason) {
+    case DeclineReason::Absent:
+        return "backend-absent";
+    case DeclineReason::Draining:
+        return "backend-draining";
+    case DeclineReason::Evacuated:
+        return "zone-evacuated";
+    case DeclineReason::Overloaded:
+        return "overloaded";
+    case DeclineReason::Expired:
+        return "no-time-left";
+    }
+    return "unknown";
+}
+
+bool operator<(const BackendGate::Order &a, const BackendGate::Order &b)
+{
+    return std::tie(a.priority, a.isLate, a.deadline, a.ticket)
+           < std::tie(b.priority, b.isLate, b.deadline, b.ticket);
+}
+
+std::optional<DeclineReason> BackendGate::refusal() const
+{
+    if (!m_condition.isPresent)
+        return DeclineReason::Absent;
+    if (m_condition.isDraining)
+        return DeclineReason::Draining;
+    if (m_condition.isEvacuated)
+        return DeclineReason::Evacuated;
+    return std::nullopt;
+}
+
+void BackendGate::setCondition(Base::TimePoint now, const BackendCondition &condition)
+{
+    m_condition = condition;
+    m_condition.slots = std::max<std::uint32_t>(1, condition.slots);
+    forgetOldStarts(now);
+    const auto reason = refusal();
+    if (!reason)
+        return;
+    for (const auto &[order, request] : m_queue)
+        m_declined.emplace_back(order.ticket, Decline{*reason, Base::Duration::zero()});
+    m_queue.clear();
+}
+
+std::uint32_t BackendGate::limit(Base::TimePoint now) const
+{
+    if (now < m_shedUntil)
+        return std::min(m_condition.slots, m_shedLimit);
+    return m_condition.slots;
+}
+
+std::uint32_t BackendGate::coldAllowance() const
+{
+    return std::max<std::uint32_t>(1,
+                                   static_cast<std::uint32_t>(m_condition.coldRequestsPerSecond));
+}
+
+void BackendGate::forgetOldStarts(Base::TimePoint now)
+{
+    while (!m_starts.empty() && m_starts.front() + ColdWindow <= now)
+        m_starts.pop_front();
+}
+
+// Mean time between two turns.
+Base::Duration BackendGate::turnTime(Base::TimePoint now) const
+{
+    const Base::Duration byService = m_serviceTime / std::max<std::uint32_t>(1, limit(now));
+    if (!m_condition.isCold)
+        return byService;
+    return std::max<Base::Duration>(byService, Base::Duration(ColdWindow) / coldAllowance());
+}
+
+tl::expected<Ticket, Decline> BackendGate::offer(Base::TimePoint now, const GateRequest &request)
+{
+    if (const auto reason = refusal())
+        return tl::unexpected(Decline{*reason, Base::Duration::zero()});
+    const Order order{request.priority, request.target <= now, request.deadline, ++m_lastTicket};
+    const auto ahead = std::distance(m_queue.begin(), m_queue.lower_bound(order));
+    const std::uint32_t free = m_running < limit(now) ? limit(now) - m_running : 0;
+    const auto turns = std::max<std::ptrdiff_t>(0, ahead + 1 - static_cast<std::ptrdiff_t>(free));
+    const Base::Duration wait = turnTime(now) * turns;
+    const bool isTooLate = turns > 0 && now + wait + m_serviceTime > request.deadline;
+    const bool isFull = m_queue.size() >= MaxWaitingPerSlot * m_condition.slots;
+    if (isTooLate || isFull)
+        return tl::unexpected(Decline{DeclineReason::Overloaded, wait});
+    m_queue.emplace(order, request);
+    return order.ticket;
+}
+
+// Requests whose answer will be late anyway wait behind those that can still be in time.
+void BackendGate::sortOutLate(Base::TimePoint now)
+{
+    std::vector<std::pair<Order, GateRequest>> late;
+    for (auto entry = m_queue.begin(); entry != m_queue.end();) {
+        const bool isLate = !entry->first.isLate && entry->second.target < now + m_serviceTime;
+        if (!isLate) {
+            ++entry;
+            continue;
+        }
+        late.emplace_back(entry->first, entry->second);
+        entry = m_queue.erase(entry);
+    }
+    for (auto &[order, request] : late) {
+        order.isLate = true;
+        m_queue.emplace(order, request);
+    }
+}
+
+std::optional<Ticket> BackendGate::next(Base::TimePoint now)
+{
+    forgetOldStarts(now);
+    if (m_queue.empty() || m_running >= limit(now))
+        return std::nullopt;
+    if (m_condition.isCold && m_starts.size() >= coldAllowance())
+        return std::nullopt;
+    sortOutLate(now);
+    while (!m_queue.empty()) {
+        const auto first = m_queue.begin();
+        const Ticket ticket = first->first.ticket;
+        const bool hasTime = now + scaled(m_serviceTime, MinServiceLeft) <= first->second.deadline;
+        m_queue.erase(first);
+        if (!hasTime) {
+            m_declined.emplace_back(ticket, Decline{DeclineReason::Expired, m_serviceTime});
+            continue;
+        }
+        ++m_running;
+        m_starts.push_back(now);
+        return ticket;
+    }
+    return std::nullopt;
+}
+
+std::vector<std::pair<Ticket, Decline>> BackendGate::takeDeclined(Base::TimePoint now)
+{
+    for (auto entry = m_queue.begin(); entry != m_queue.end();) {
+        const bool hasTime = now + scaled(m_serviceTime, MinServiceLeft) <= entry->second.deadline;
+        if (hasTime) {
+            ++entry;
+            continue;
+        }
+        m_declined.emplace_back(entry->first.ticket,
+                                Decline{DeclineReason::Expired, m_serviceTime});
+        entry = m_queue.erase(entry);
+    }
+    return std::exchange(m_declined, {});
+}
+
+bool BackendGate::cancel(Ticket ticket)
+{
+    const auto found = std::find_if(m_queue.begin(), m_queue.end(), [ticket](const auto &entry) {
+        return entry.first.ticket == ticket;
+    });
+    if (found == m_queue.end())
+        return false;
+    m_queue.erase(found);
+    return true;
+}
+
+void BackendGate::onFinished(Base::TimePoint /*now*/, Base::Duration service, bool wasAnswered)
+{
+    m_running -= m_running > 0 ? 1 : 0;
+    if (wasAnswered)
+        m_serviceTime += scaled(service - m_serviceTime, ServiceShare);
+}
+
+void BackendGate::onShed(Base::TimePoint now)
+{
+    m_shedUntil = now + ShedPause;
+    m_shedLimit = std::max<std::uint32_t>(1, m_running);
+}
+
+std::optional<Base::TimePoint> BackendGate::nextTurn(Base::TimePoint now) const
+{
+    if (m_queue.empty())
+        return std::nullopt;
+    Base::TimePoint turn = now + std::chrono::milliseconds(50);
+    if (m_condition.isCold && !m_starts.empty())
+        turn = std::min<Base::TimePoint>(turn, m_starts.front() + ColdWindow);
+    return std::max(turn, now + std::chrono::milliseconds(1));
+}
+
+} // namespace Medlar::Gate
--- a/src/libs/http/backendclient.cpp
+++ b/src/libs/http/backendclient.cpp
@@ -50,13 +50,14 @@
     BackendRequestId send(BackendRequest request);
     void cancel(BackendRequestId id);
     void closeAll();
+    void closeIdle();
 
     std::size_t busy() const { return m_busy.size(); }
     std::size_t idle() const { return m_idle.size(); }
     const BackendCounters &counters() const { return m_counters; }
 
 private:
-    ConnectionPtr takeIdle();
+    ConnectionPtr takeIdle(std::chrono::milliseconds maxIdle);
     ConnectionPtr open();
     void onDone(const ConnectionPtr &connection, const BackendRequest &request,
                 BackendResult result, bool isReusable);
@@ -71,9 +72,12 @@
     BackendRequestId m_lastId = 0;
 };
 
-ConnectionPtr Pool::takeIdle()
+// The last one was used last, so all others are idle for longer.
+ConnectionPtr Pool::takeIdle(std::chrono::milliseconds maxIdle)
 {
     while (!m_idle.empty()) {
+        if (m_idle.back()->idleTime() > maxIdle)
+            return nullptr;
         ConnectionPtr connection = std::move(m_idle.back());
         m_idle.pop_back();
         if (connection->isUsable())
@@ -97,7 +101,7 @@
 BackendRequestId Pool::send(BackendRequest request)
 {
     const BackendRequestId id = ++m_lastId;
-    ConnectionPtr connection = takeIdle();
+    ConnectionPtr connection = takeIdle(request.maxIdle);
     if (!connection && m_busy.size() < m_settings.maxConnections)
         connection = open();
     if (!connection) {
@@ -140,15 +144,20 @@
         });
 }
 
+void Pool::closeIdle()
+{
+    for (const ConnectionPtr &connection : m_idle)
+        connection->abandon();
+    m_idle.clear();
+}
+
 void Pool::closeAll()
 {
     for (const auto &[id, connection] : m_busy)
         connection->abandon();
-    for (const ConnectionPtr &connection : m_idle)
-        connection->abandon();
     m_busy.clear();
     m_requestOf.clear();
-    m_idle.clear();
+    closeIdle();
 }
 
 class PooledBackendClient : public BackendClient
@@ -166,6 +175,7 @@
         return m_pool->send(std::move(request));
     }
     void cancel(BackendRequestId id) override { m_pool->cancel(id); }
+    void closeIdle() override { m_pool->closeIdle(); }
     std::size_t busyConnections() const override { return m_pool->busy(); }
     std::size_t idleConnections() const override { return m_pool->idle(); }
     const BackendCounters &counters() const override { return m_pool->counters(); }
--- a/src/libs/http/backendclient.h
+++ b/src/libs/http/backendclient.h
@@ -22,7 +22,12 @@
     std::chrono::milliseconds connectTimeout{1000};
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes
-        = std::uint64_t(2) * 1024 * 1024; //!< has to fit into a frame between daemons
+        = std::uint64_t(2) * 1024 * 1024;              //!< has to fit into a frame between daemons
+    std::string requestIdHeader = "Medlar-Request-Id"; //!< in which responses repeat the id
+    /*! Takes a response without a length that ends with an orderly close of its connection. */
+    bool acceptsBodyUntilClose = false;
+    /*! Idle connections older than this are not used; a Keep-Alive header may shorten it. */
+    std::chrono::milliseconds maxIdle{60000};
 };
 
 enum class BackendErrorCode {
@@ -54,6 +59,9 @@
     HttpRequest request;
     std::string requestId; //!< a response that names another one is not accepted
     Base::TimePoint deadline;
+    /*! A connection that was idle for longer is not used, since the server may have forgotten it.
+     */
+    std::chrono::milliseconds maxIdle = std::chrono::milliseconds::max();
     /*!
         Called directly before the first byte is sent; may still change the headers. The request is
        not sent when it returns false. May be empty.
@@ -92,6 +100,9 @@
     /*! Ends the request with the error Cancelled, unless it has ended. */
     virtual void cancel(BackendRequestId id) = 0;
 
+    /*! Closes idle connections, as after a restart of the BackendServer. */
+    virtual void closeIdle() = 0;
+
     virtual std::size_t busyConnections() const = 0;
     virtual std::size_t idleConnections() const = 0;
     virtual const BackendCounters &counters() const = 0;
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace Medlar::Http {
@@ -16,6 +17,12 @@
 
 constexpr std::uint16_t LowestFinalStatus = 200;
 
+// A connection is given up this long before the server closes it, so that no request crosses the
+// close.
+constexpr std::chrono::milliseconds IdleMargin{500};
+// Higher values of a Keep-Alive header are ignored.
+constexpr std::uint64_t MaxKeepAliveSeconds = 3600;
+
 } // namespace
 
 BackendConnection::BackendConnection(asio::io_context &context,
@@ -26,10 +33,19 @@
     , m_counters(counters)
     , m_done(std::move(done))
     , m_socket(context)
+    , m_maxIdle(settings.maxIdle)
 {}
 
+std::chrono::milliseconds BackendConnection::idleTime() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
+                                                                 - m_idleSince);
+}
+
 bool BackendConnection::isUsable()
 {
+    if (idleTime() > m_maxIdle)
+        return false;
     char byte = 0;
     const auto result = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
@@ -134,26 +150,60 @@
     const auto &message = m_parser->get();
     // A body that ends with the connection cannot be told from one that was cut off.
     if (message.result_int() < LowestFinalStatus
-        || (message.need_eof() && m_request->request.method != "HEAD")) {
+        || (message.need_eof() && m_request->request.method != "HEAD"
+            && !m_settings.acceptsBodyUntilClose)) {
         fail(BackendErrorCode::Malformed);
         return;
     }
-    const auto id = message.find("Medlar-Request-Id");
-    if (id != message.end() && id->value() != m_request->requestId) {
-        fail(BackendErrorCode::Mismatched);
+    if (!isForRequest()) {
+        ++m_counters.mismatchedResponses;
+        m_sawOtherResponse = true;
+        if (message.keep_alive())
+            read(); // the response to this request may follow
+        else
+            fail(BackendErrorCode::Mismatched);
         return;
     }
+    learnIdleLimit();
     if (m_buffer.size() != 0)
         ++m_counters.unexpectedBytes;
-    const bool isReusable = message.keep_alive() && m_buffer.size() == 0;
+    const bool isReusable = message.keep_alive() && m_buffer.size() == 0 && !m_sawOtherResponse
+                            && !message.need_eof();
     finish(toHttpResponse(m_parser->release()), isReusable);
 }
 
+// A response to an earlier request may come late, where that of the next one is expected.
+bool BackendConnection::isForRequest() const
+{
+    const auto &message = m_parser->get();
+    const auto id = message.find(m_settings.requestIdHeader);
+    return id == message.end() || id->value() == m_request->requestId;
+}
+
+void BackendConnection::learnIdleLimit()
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::string keepAlive(m_parser->get()["Keep-Alive"]);
+    const std::size_t start = keepAlive.find(Parameter);
+    if (start == std::string::npos)
+        return;
+    const std::size_t digits = start + Parameter.size();
+    const auto last = keepAlive.find_first_not_of("0123456789", digits);
+    const auto seconds = parseNumber(std::string_view(keepAlive).substr(
+        digits, last == std::string::npos ? std::string::npos : last - digits));
+    if (!seconds || *seconds > MaxKeepAliveSeconds)
+        return;
+    const std::chrono::milliseconds limit = std::chrono::seconds(*seconds);
+    m_maxIdle = std::min(m_settings.maxIdle, std::max(limit - IdleMargin, limit / 2));
+}
+
 void BackendConnection::fail(BackendErrorCode code)
 {
+    if (m_sawOtherResponse
+        && (code == BackendErrorCode::TimedOut || code == BackendErrorCode::CutOff))
+        code = BackendErrorCode::Mismatched;
     m_counters.cutOffResponses += code == BackendErrorCode::CutOff ? 1 : 0;
     m_counters.timeouts += code == BackendErrorCode::TimedOut ? 1 : 0;
-    m_counters.mismatchedResponses += code == BackendErrorCode::Mismatched ? 1 : 0;
     // A connection that was not written to holds no answer that could be taken for another one.
     const bool isReusable = m_isConnected && !m_isSent;
     finish(tl::unexpected(BackendError{code, m_isSent}), isReusable);
@@ -166,6 +216,7 @@
     m_message.reset();
     m_parser.reset();
     m_deadlines.cancel(m_limit);
+    m_idleSince = std::chrono::steady_clock::now();
     if (!isReusable)
         abandon();
     m_done(shared_from_this(), request, std::move(result), isReusable);
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -28,10 +28,13 @@
     void abandon();
     /*! Whether an idle connection can take a request: still open, and without unread bytes. */
     bool isUsable();
+    std::chrono::milliseconds idleTime() const;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    bool isForRequest() const;
+    void learnIdleLimit();
     void connect();
     void write();
     void read();
@@ -53,7 +56,10 @@
     std::shared_ptr<BeastRequest> m_message;
     std::shared_ptr<Parser> m_parser;
     std::uint64_t m_turn = 0; //!< counts requests; handlers of earlier ones do nothing
+    Base::TimePoint m_idleSince;
+    std::chrono::milliseconds m_maxIdle;
     bool m_isConnected = false;
+    bool m_sawOtherResponse = false; //!< its bytes may not have been the last
     bool m_isSent = false;
 };
 
--- a/src/libs/http/beastconversion.cpp
+++ b/src/libs/http/beastconversion.cpp
@@ -30,9 +30,12 @@
 Headers endToEndHeaders(const beast::http::fields &fields)
 {
     Headers headers;
+    const std::string connection(fields[beast::http::field::connection]);
     for (const auto &field : fields) {
         const std::string_view name(field.name_string().data(), field.name_string().size());
-        if (!isHopByHop(name))
+        // The Connection header may name further headers that concern this connection only.
+        if (!isHopByHop(name)
+            && (connection.empty() || !beast::http::token_list(connection).exists(name)))
             headers.emplace_back(name, std::string(field.value()));
     }
     return headers;
@@ -43,6 +46,7 @@
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
+    request.host = std::string(message[beast::http::field::host]);
     request.headers = endToEndHeaders(message);
     request.body = std::move(message.body());
     request.isFromLoopback = isFromLoopback;
@@ -61,7 +65,7 @@
     message.version(Http11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(beast::http::field::host, host);
+    message.set(beast::http::field::host, request.host.empty() ? host : request.host);
     insertHeaders(message, request.headers);
     message.body() = request.body;
     message.prepare_payload();
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <vector>
+
 namespace Medlar::Http {
 
 namespace asio = boost::asio;
@@ -34,6 +36,8 @@
     void startClosing();
     void closeAll();
 
+    void setLimits(const HttpServerSettings &limits);
+
     std::uint16_t port() const { return m_port; }
     const SessionGroup &group() const { return *m_group; }
 
@@ -41,6 +45,7 @@
     void accept();
     void onAccept(const error_code &error, Socket socket);
     void checkTimes();
+    std::vector<HttpSession *> allSessions() const;
 
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> m_acceptor;
     asio::steady_timer m_checkTimer;
@@ -107,28 +112,44 @@
         if (error)
             return;
         const auto now = HttpSession::Clock::now();
-        for (HttpSession *session : self->m_group->sessions)
-            session->checkTime(now);
+        for (HttpSession *session : self->allSessions()) {
+            if (self->m_group->sessions.count(session) != 0)
+                session->checkTime(now);
+        }
         self->checkTimes();
     });
 }
 
+void Listener::setLimits(const HttpServerSettings &limits)
+{
+    HttpServerSettings merged = limits;
+    merged.address = m_group->settings.address;
+    merged.port = m_group->settings.port;
+    m_group->settings = merged;
+}
+
 void Listener::startClosing()
 {
     error_code ignored;
     m_group->isClosing = true;
     m_acceptor.close(ignored);
-    for (HttpSession *session : m_group->sessions)
+    for (HttpSession *session : allSessions())
         session->closeIfIdle();
 }
 
+// A copy, because callers that are told about a closed connection may end other sessions.
+std::vector<HttpSession *> Listener::allSessions() const
+{
+    return {m_group->sessions.begin(), m_group->sessions.end()};
+}
+
 void Listener::closeAll()
 {
     startClosing();
     m_checkTimer.cancel();
     m_acceptTimer.cancel();
     m_group->handler = [](const HttpRequest &, const Reply &) {};
-    for (HttpSession *session : m_group->sessions)
+    for (HttpSession *session : allSessions())
         session->close();
 }
 
@@ -142,6 +163,7 @@
     BeastHttpServer &operator=(const BeastHttpServer &) = delete;
 
     void startClosing() override { m_listener->startClosing(); }
+    void setLimits(const HttpServerSettings &limits) override { m_listener->setLimits(limits); }
     std::uint16_t port() const override { return m_listener->port(); }
     std::size_t connectionCount() const override { return m_listener->group().sessions.size(); }
     HttpServerCounters counters() const override { return m_listener->group().counters; }
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -26,6 +26,10 @@
     std::chrono::milliseconds requestTimeout{10000}; //!< from the first byte to the last
     std::chrono::milliseconds handlerTimeout{60000}; //!< until the reply, or the connection ends
     std::chrono::milliseconds writeTimeout{10000};
+    /*! Requests of one connection that are handled at the same time. */
+    std::size_t maxPipelined = 1;
+    /*! Answers 408 to a request that is not complete in time, instead of closing only. */
+    bool answersRequestTimeout = false;
 };
 
 struct HttpServerCounters
@@ -37,9 +41,9 @@
 };
 
 /*!
-    HTTP/1.1 listener. Requests of one connection are handled one after the other in the order in
-   which they arrived, pipelined ones too. Create, use and destroy it on the thread of the
-   io_context.
+    HTTP/1.1 listener. Up to maxPipelined requests of one connection are handled at the same time;
+   their responses leave in the order of the requests. Create, use and destroy it on the thread of
+   the io_context.
 */
 class HttpServer
 {
@@ -55,6 +59,9 @@
      * after their response. */
     virtual void startClosing() = 0;
 
+    /*! Replaces the limits for requests that are not begun yet. Address and port stay. */
+    virtual void setLimits(const HttpServerSettings &limits) = 0;
+
     virtual std::uint16_t port() const = 0;
     virtual std::size_t connectionCount() const = 0;
     virtual HttpServerCounters counters() const = 0;
--- a/src/libs/http/httpsession.cpp
+++ b/src/libs/http/httpsession.cpp
@@ -3,6 +3,10 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
+#include <algorithm>
+
 namespace Medlar::Http {
 
 namespace asio = boost::asio;
@@ -30,24 +34,32 @@
     m_group->sessions.erase(this);
 }
 
-void HttpSession::enter(State state, std::chrono::milliseconds limit)
-{
-    m_state = state;
-    m_limit = Clock::now() + limit;
-}
-
 void HttpSession::checkTime(Clock::time_point now)
 {
-    if (now < m_limit || !m_socket.is_open())
+    if (!m_socket.is_open())
         return;
-    if (m_state != State::Ending)
+    const bool isInputLate = m_input == Input::Idle ? m_exchanges.empty() && now >= m_inputLimit
+                             : m_input == Input::Watched ? false
+                                                         : now >= m_inputLimit;
+    const bool isOutputLate = m_isWriting && now >= m_writeLimit;
+    const bool isHandlerLate = !m_exchanges.empty() && now >= m_exchanges.front().limit;
+    if (!isInputLate && !isOutputLate && !isHandlerLate)
+        return;
+    if (m_input != Input::Ending)
         ++m_group->counters.timeouts;
+    if (isInputLate && m_input == Input::Reading && m_group->settings.answersRequestTimeout
+        && !m_isWriting) {
+        error_code ignored;
+        m_socket.cancel(ignored);
+        refuse(http::status::request_timeout);
+        return;
+    }
     close();
 }
 
 void HttpSession::closeIfIdle()
 {
-    if (m_state == State::Idle || m_state == State::Ending)
+    if (m_exchanges.empty() && (m_input == Input::Idle || m_input == Input::Ending))
         close();
 }
 
@@ -56,6 +68,9 @@
     error_code ignored;
     m_socket.shutdown(Socket::shutdown_both, ignored);
     m_socket.close(ignored);
+    const auto self = weak_from_this().lock(); // the last reference may be held by a handler
+    for (Exchange &exchange : std::exchange(m_exchanges, {}))
+        exchange.caller->setLeft();
 }
 
 void HttpSession::readRequest()
@@ -67,20 +82,25 @@
         readBody();
         return;
     }
-    enter(State::Idle, m_group->settings.idleTimeout);
+    m_input = Input::Idle;
+    m_inputLimit = Clock::now() + m_group->settings.idleTimeout;
     // The first byte is awaited without the parser, so that idle connections have a limit of their
     // own.
     m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
-        if (!error)
+        if (!error && self->m_input == Input::Idle)
             self->readBody();
     });
 }
 
 void HttpSession::readBody()
 {
-    enter(State::Reading, m_group->settings.requestTimeout);
+    m_input = Input::Reading;
+    m_requestBegan = Clock::now();
+    m_inputLimit = m_requestBegan + m_group->settings.requestTimeout;
     http::async_read(m_socket, m_buffer, *m_parser,
                      [self = shared_from_this()](const error_code &error, std::size_t) {
+                         if (self->m_input != Input::Reading || !self->m_socket.is_open())
+                             return;
                          if (error)
                              self->refuse(error);
                          else
@@ -90,7 +110,6 @@
 
 void HttpSession::refuse(const error_code &error)
 {
-    m_keepAlive = false;
     http::status status = http::status::bad_request;
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
         status = http::status::request_header_fields_too_large;
@@ -101,52 +120,133 @@
         close();
         return;
     }
+    refuse(status);
+}
+
+void HttpSession::refuse(http::status status)
+{
     ++m_group->counters.malformedRequests;
     HttpResponse response;
     response.status = static_cast<std::uint16_t>(status);
     response.headers = {{"Content-Type", "application/json"}, {"Medlar-Outcome", "not-run"}};
     response.body = R"({"error":"bad-request","outcome":"not-run"})";
-    write(toBeast(std::move(response), false));
+    m_input = Input::Watched;
+    m_exchanges.push_back({++m_sequence, false, Clock::now() + m_group->settings.handlerTimeout,
+                           std::make_shared<CallerPresence>(),
+                           std::make_shared<BeastResponse>(toBeast(std::move(response), false))});
+    writeNext();
+}
+
+// Two headers of these kinds, or an unknown coding, could make two readers see different requests.
+bool HttpSession::isProper() const
+{
+    const auto &message = m_parser->get();
+    const auto coding = message.find(http::field::transfer_encoding);
+    return message.count(http::field::host) <= 1 && message.count(http::field::content_length) <= 1
+           && (coding == message.end()
+               || (message.chunked() && message.count(http::field::content_length) == 0));
 }
 
 void HttpSession::handle()
 {
-    enter(State::Handling, m_group->settings.handlerTimeout);
-    m_keepAlive = m_parser->get().keep_alive();
+    if (!isProper()) {
+        refuse(http::status::bad_request);
+        return;
+    }
     const std::uint64_t sequence = ++m_sequence;
+    const bool keepAlive = m_parser->get().keep_alive();
+    m_exchanges.push_back({sequence, keepAlive, Clock::now() + m_group->settings.handlerTimeout,
+                           std::make_shared<CallerPresence>(), nullptr});
     HttpRequest request = toHttpRequest(m_parser->release(), m_isFromLoopback);
+    request.received = m_requestBegan;
+    request.caller = m_exchanges.back().caller;
     Reply reply = [self = shared_from_this(), sequence](HttpResponse response) {
         asio::dispatch(self->m_socket.get_executor(),
                        [self, sequence, response = std::move(response)]() mutable {
                            self->reply(sequence, std::move(response));
                        });
     };
+    m_input = Input::Watched;
     m_group->handler(std::move(request), std::move(reply));
+    continueReading();
+}
+
+void HttpSession::continueReading()
+{
+    if (!m_socket.is_open() || m_input != Input::Watched)
+        return;
+    const bool isLast = !m_exchanges.empty() && !m_exchanges.back().keepAlive;
+    if (!isLast && m_exchanges.size() < m_group->settings.maxPipelined)
+        readRequest();
+    else if (m_group->settings.maxPipelined > 1)
+        watchForLeaving();
+}
+
+void HttpSession::watchForLeaving()
+{
+    m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
+        if (error || self->m_input != Input::Watched || self->m_exchanges.empty())
+            return;
+        char byte = 0;
+        const auto count
+            = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            self->close();
+    });
 }
 
 void HttpSession::reply(std::uint64_t sequence, HttpResponse response)
 {
-    if (m_state != State::Handling || sequence != m_sequence || !m_socket.is_open())
+    const auto found = std::find_if(m_exchanges.begin(), m_exchanges.end(),
+                                    [sequence](const Exchange &exchange) {
+                                        return exchange.sequence == sequence && !exchange.response;
+                                    });
+    if (found == m_exchanges.end() || !m_socket.is_open())
+        return;
+    found->caller->release();
+    found->response
+        = std::make_shared<BeastResponse>(toBeast(std::move(response), found->keepAlive));
+    writeNext();
+}
+
+void HttpSession::writeNext()
+{
+    if (m_isWriting || m_exchanges.empty() || !m_exchanges.front().response)
         return;
-    if (m_group->isClosing)
-        m_keepAlive = false;
-    write(toBeast(std::move(response), m_keepAlive));
+    Exchange &front = m_exchanges.front();
+    // Requests that were read behind this one still get their responses.
+    if (m_group->isClosing && m_exchanges.size() == 1)
+        front.keepAlive = false;
+    front.response->keep_alive(front.keepAlive);
+    m_isWriting = true;
+    m_writeLimit = Clock::now() + m_group->settings.writeTimeout;
+    front.limit = Clock::time_point::max();
+    http::async_write(m_socket, *front.response,
+                      [self = shared_from_this(), response = front.response](
+                          const error_code &error, std::size_t) { self->onWritten(error); });
 }
 
-void HttpSession::write(BeastResponse message)
+void HttpSession::onWritten(const error_code &error)
 {
-    enter(State::Writing, m_group->settings.writeTimeout);
-    m_response = std::move(message);
-    http::async_write(m_socket, *m_response,
-                      [self = shared_from_this()](const error_code &error, std::size_t) {
-                          self->m_response.reset();
-                          if (error)
-                              self->close();
-                          else if (self->m_keepAlive)
-                              self->readRequest();
-                          else
-                              self->end();
-                      });
+    m_isWriting = false;
+    if (error || m_exchanges.empty()) {
+        close();
+        return;
+    }
+    const bool keepAlive = m_exchanges.front().keepAlive;
+    m_exchanges.pop_front();
+    if (!keepAlive) {
+        end();
+        return;
+    }
+    if (m_exchanges.empty() && m_input == Input::Idle)
+        m_inputLimit = Clock::now() + m_group->settings.idleTimeout;
+    if (m_group->isClosing && m_exchanges.empty() && m_input == Input::Idle) {
+        close();
+        return;
+    }
+    continueReading();
+    writeNext();
 }
 
 // Closing a socket with unread input resets the connection, and the caller could lose the response.
@@ -154,7 +254,12 @@
 {
     error_code ignored;
     m_socket.shutdown(Socket::shutdown_send, ignored);
-    enter(State::Ending, EndTimeout);
+    if (m_input == Input::Idle || m_input == Input::Reading)
+        m_socket.cancel(ignored);
+    m_input = Input::Ending;
+    m_inputLimit = Clock::now() + EndTimeout;
+    for (Exchange &exchange : std::exchange(m_exchanges, {}))
+        exchange.caller->setLeft();
     discardInput();
 }
 
--- a/src/libs/http/httpsession.h
+++ b/src/libs/http/httpsession.h
@@ -4,6 +4,7 @@
 #include "httpserver.h"
 
 #include <array>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <unordered_set>
@@ -22,7 +23,10 @@
     bool isClosing = false;
 };
 
-/*! One connection of a caller. */
+/*!
+    One connection of a caller. Requests are read while earlier ones are handled, up to the bound
+   of the settings; responses leave in the order of the requests.
+*/
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
@@ -40,28 +44,51 @@
     void close();
 
 private:
-    enum class State { Idle, Reading, Handling, Writing, Ending };
+    /*! What is expected from the caller. */
+    enum class Input {
+        Idle,    //!< the first byte of a request
+        Reading, //!< the rest of a request
+        Watched, //!< nothing; only its leaving is looked for
+        Ending   //!< nothing; what comes is discarded until the caller closes
+    };
+
+    /*! A request that was read and whose response has not left. */
+    struct Exchange
+    {
+        std::uint64_t sequence = 0;
+        bool keepAlive = true;
+        Clock::time_point limit; //!< of its handler
+        std::shared_ptr<CallerPresence> caller;
+        /*! Shared with the pending write, which may go on after the connection was closed. */
+        std::shared_ptr<BeastResponse> response;
+    };
 
     void readRequest();
     void readBody();
     void handle();
+    void continueReading();
+    void watchForLeaving();
     void refuse(const boost::system::error_code &error);
+    void refuse(boost::beast::http::status status);
     void reply(std::uint64_t sequence, HttpResponse response);
-    void write(BeastResponse message);
+    void writeNext();
+    void onWritten(const boost::system::error_code &error);
     void end();
     void discardInput();
-    void enter(State state, std::chrono::milliseconds limit);
+    bool isProper() const;
 
     Socket m_socket;
     std::shared_ptr<SessionGroup> m_group;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
-    std::optional<BeastResponse> m_response;
-    State m_state = State::Idle;
-    Clock::time_point m_limit;
-    std::uint64_t m_sequence = 0; //!< of the request being handled
+    std::deque<Exchange> m_exchanges;
+    Input m_input = Input::Idle;
+    Clock::time_point m_inputLimit;
+    Clock::time_point m_writeLimit;
+    Clock::time_point m_requestBegan;
+    std::uint64_t m_sequence = 0; //!< of the last request
     std::array<char, 4096> m_discarded{};
-    bool m_keepAlive = true;
+    bool m_isWriting = false;
     bool m_isFromLoopback = false;
 };
 
--- a/src/libs/http/httptypes.h
+++ b/src/libs/http/httptypes.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,13 +14,52 @@
 /*! In the order of the message; the same type as the headers of forwarded requests. */
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+/*! Tells whoever handles a request that its caller closed the connection. */
+class CallerPresence
+{
+public:
+    bool hasLeft() const { return m_hasLeft; }
+
+    /*! Calls \a action when the caller leaves, or at once when it has left. */
+    void onLeft(std::function<void()> action)
+    {
+        m_action = std::move(action);
+        if (m_hasLeft)
+            notify();
+    }
+
+    /*! The request needs no notice any more, since it has its response. */
+    void release() { m_action = nullptr; }
+
+    void setLeft()
+    {
+        if (m_hasLeft)
+            return;
+        m_hasLeft = true;
+        notify();
+    }
+
+private:
+    void notify()
+    {
+        if (const auto action = std::exchange(m_action, nullptr))
+            action();
+    }
+
+    std::function<void()> m_action;
+    bool m_hasLeft = false;
+};
+
 struct HttpRequest
 {
     std::string method;
     std::string target;
+    std::string host; //!< value of the Host header, which is not among the headers
     Headers headers;
     std::string body;
     bool isFromLoopback = false;
+    Base::TimePoint received;               //!< when its first bytes were read
+    std::shared_ptr<CallerPresence> caller; //!< empty outside a connection of a caller
 };
 
 struct HttpResponse
--- /dev/null
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -0,0 +1,282 @@
+#include "rangekeeper.h"
+
+#include <algorithm>
+
+namespace Medlar::KeyRange {
+
+namespace {
+
+// Lives of a BackendServer that one process of the daemon tells apart within an epoch.
+constexpr FencingToken LivesPerEpoch = 1024;
+
+Base::Duration scaled(Base::Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, Base::Duration::period>(duration) * factor);
+}
+
+} // namespace
+
+RangeKeeper::RangeKeeper(std::string self, Base::TimePoint startedAt, const KeeperTiming &timing)
+    : m_self(std::move(self)), m_startedAt(startedAt), m_timing(timing)
+{}
+
+void RangeKeeper::onTable(Base::TimePoint now, TableVersion version, const RangeTable &table)
+{
+    if (version <= m_version)
+        return;
+    if (!m_inheritedEpoch)
+        m_inheritedEpoch = table.lastEpoch();
+    m_version = version;
+    m_table = table;
+    std::map<std::pair<Key, Epoch>, Base::TimePoint> successions;
+    for (const RangeRow &row : m_table->rows()) {
+        if (row.successor != m_self || row.owner == m_self)
+            continue;
+        const std::pair<Key, Epoch> id{row.range.first, row.epoch};
+        const auto known = m_successions.find(id);
+        successions[id] = known == m_successions.end() ? now : known->second;
+    }
+    m_successions = std::move(successions);
+    const auto isSettled = [this](const FreedRange &freed) {
+        return std::none_of(m_table->rows().begin(), m_table->rows().end(),
+                            [&](const RangeRow &row) {
+                                return row.owner == m_self && !row.successor.empty()
+                                       && row.range.overlaps(freed.range);
+                            });
+    };
+    m_freed.erase(std::remove_if(m_freed.begin(), m_freed.end(), isSettled), m_freed.end());
+}
+
+void RangeKeeper::onConfirmed(Base::TimePoint sentAt, TableVersion version)
+{
+    if (version >= m_version && (!m_confirmedAt || *m_confirmedAt < sentAt))
+        m_confirmedAt = sentAt;
+}
+
+Base::TimePoint RangeKeeper::authorityEnd() const
+{
+    return m_confirmedAt ? *m_confirmedAt + m_timing.authority : Base::TimePoint::min();
+}
+
+FencingToken RangeKeeper::tokenOf(const RangeRow &row) const
+{
+    return row.epoch * LivesPerEpoch + m_lifeNumber;
+}
+
+bool RangeKeeper::isReported(const Range &range) const
+{
+    return std::any_of(m_held.begin(), m_held.end(),
+                       [&range](const HeldRange &held) { return held.range.contains(range); });
+}
+
+// An earlier process of this node may have used the tokens of the epoch for another life, unless
+// the BackendServer proves by holding the range that its life is the same.
+bool RangeKeeper::needsNewEpoch(const RangeRow &row) const
+{
+    return m_inheritedEpoch && row.epoch <= *m_inheritedEpoch && !isReported(row.range)
+           && std::none_of(m_grants.begin(), m_grants.end(), [&row](const Grant &grant) {
+                  return grant.isOffered && grant.range.contains(row.range);
+              });
+}
+
+void RangeKeeper::adoptReport(const HeldReport &report)
+{
+    const bool isSameLife = m_hasBackend && report.backend == m_backend && report.life == m_life;
+    if (!isSameLife) {
+        // A restart under the same id ends the former life. Another BackendServer may come while
+        // the former one still runs, so what that one holds has to expire.
+        if (m_hasBackend && report.backend == m_backend)
+            m_grants.clear();
+        for (Grant &grant : m_grants)
+            grant.isOffered = false;
+        m_freed.clear();
+        m_lifeNumber += m_hasBackend ? 1 : 0;
+        m_hasBackend = true;
+        m_backend = report.backend;
+        m_life = report.life;
+    }
+    m_held = report.held;
+    m_freed.insert(m_freed.end(), report.freed.begin(), report.freed.end());
+    if (!m_table)
+        return;
+    for (const HeldRange &held : m_held) {
+        const RangeRow &row = m_table->row(held.range.first);
+        if (row.owner == m_self && held.token / LivesPerEpoch == row.epoch)
+            m_lifeNumber = std::max(m_lifeNumber, held.token % LivesPerEpoch);
+    }
+}
+
+void RangeKeeper::dropReleased(const HeldReport &report)
+{
+    const auto isReleased = [&report](const Grant &grant) {
+        return !grant.isOffered && report.sequence > grant.withheldAt
+               && std::none_of(
+                   report.held.begin(), report.held.end(),
+                   [&grant](const HeldRange &held) { return held.range.overlaps(grant.range); });
+    };
+    m_grants.erase(std::remove_if(m_grants.begin(), m_grants.end(), isReleased), m_grants.end());
+}
+
+std::optional<HoldGrant> RangeKeeper::onHeartbeat(Base::TimePoint now, const HeldReport &report)
+{
+    adoptReport(report);
+    dropReleased(report);
+    m_grants.erase(std::remove_if(m_grants.begin(), m_grants.end(),
+                                  [now](const Grant &grant) { return grant.until <= now; }),
+                   m_grants.end());
+    // What a former process of this daemon granted may be believed in for a whole hold.
+    for (const HeldRange &held : m_held) {
+        const bool isKnown
+            = std::any_of(m_grants.begin(), m_grants.end(),
+                          [&held](const Grant &grant) { return grant.range.contains(held.range); });
+        if (!isKnown)
+            m_grants.push_back({held.range,
+                                now + scaled(m_timing.hold, 1.0 + m_timing.drift) + m_timing.margin,
+                                false, report.sequence});
+    }
+    const Base::Duration left
+        = scaled(authorityEnd() == Base::TimePoint::min() ? Base::Duration::zero()
+                                                          : authorityEnd() - now - m_timing.margin,
+                 1.0 / (1.0 + m_timing.drift));
+    const Base::Duration hold = std::min(m_timing.hold, left);
+    if (!m_table || hold < m_timing.minHold)
+        return std::nullopt;
+
+    HoldGrant answer;
+    answer.hold = hold;
+    const Base::TimePoint until = now + scaled(hold, 1.0 + m_timing.drift) + m_timing.margin / 2;
+    std::vector<Grant> grants;
+    for (const RangeRow &row : m_table->rows()) {
+        if (row.owner != m_self || !row.successor.empty() || needsNewEpoch(row)
+            || !isFree(now, row.range))
+            continue;
+        answer.ranges.push_back(
+            {row.range, tokenOf(row), isReported(row.range) ? HandoverToken() : row.handover});
+        grants.push_back({row.range, until, true, 0});
+    }
+    for (Grant &grant : m_grants) {
+        const bool isRenewed = std::any_of(grants.begin(), grants.end(), [&grant](const Grant &g) {
+            return g.range.contains(grant.range);
+        });
+        if (isRenewed)
+            continue;
+        if (grant.isOffered) {
+            grant.isOffered = false;
+            grant.withheldAt = report.sequence;
+        }
+        grants.push_back(grant);
+    }
+    m_grants = std::move(grants);
+    return answer;
+}
+
+// Whether no other BackendServer of this node may still hold keys of the range.
+bool RangeKeeper::isFree(Base::TimePoint now, const Range &range) const
+{
+    return std::none_of(m_grants.begin(), m_grants.end(), [&](const Grant &grant) {
+        return !grant.isOffered && grant.range.overlaps(range) && grant.until > now
+               && !isReported(grant.range);
+    });
+}
+
+void RangeKeeper::onBackendEnded()
+{
+    m_grants.clear();
+    m_held.clear();
+    m_freed.clear();
+}
+
+bool RangeKeeper::isHeld(Base::TimePoint now, Key key) const
+{
+    return std::any_of(m_grants.begin(), m_grants.end(), [now, key](const Grant &grant) {
+        return grant.isOffered && grant.range.contains(key) && now < grant.until;
+    });
+}
+
+bool RangeKeeper::expectsRanges() const
+{
+    return !m_successions.empty();
+}
+
+bool RangeKeeper::mustRelease() const
+{
+    return m_table
+           && std::any_of(m_table->rows().begin(), m_table->rows().end(),
+                          [this](const RangeRow &row) {
+                              return row.owner == m_self && !row.successor.empty();
+                          });
+}
+
+// The pieces of a released row, each with the token under which its keys were freed.
+std::vector<RangeRow> RangeKeeper::handedOver(const RangeRow &row) const
+{
+    RangeRow moved = row;
+    moved.owner = row.successor;
+    moved.successor.clear();
+    moved.handover.clear();
+    std::vector<RangeRow> pieces{moved};
+    for (const FreedRange &freed : m_freed) {
+        if (!freed.range.overlaps(row.range))
+            continue;
+        const Range common{std::max(freed.range.first, row.range.first),
+                           std::min(freed.range.last, row.range.last)};
+        const bool isWithinOne
+            = std::any_of(pieces.begin(), pieces.end(), [&common](const RangeRow &piece) {
+                  return piece.range.contains(common);
+              });
+        if (isWithinOne)
+            pieces[isolate(pieces, common)].handover = freed.handover;
+    }
+    return pieces;
+}
+
+// A daemon that has just started does not know what its BackendServer holds before that one says
+// so, or until the holds of the former process have ended.
+bool RangeKeeper::mayBeHeld(Base::TimePoint now, const Range &range) const
+{
+    const Base::TimePoint formerHoldsEnd
+        = m_startedAt + scaled(m_timing.hold, 1.0 + m_timing.drift) + m_timing.margin;
+    if (!m_hasBackend && now < formerHoldsEnd)
+        return true;
+    return std::any_of(m_grants.begin(), m_grants.end(), [&](const Grant &grant) {
+        return grant.range.overlaps(range) && grant.until > now;
+    });
+}
+
+std::optional<RangeTable> RangeKeeper::wantedTable(Base::TimePoint now) const
+{
+    if (!m_table)
+        return std::nullopt;
+    const Epoch next = m_table->lastEpoch() + 1;
+    const Base::Duration wait = scaled(m_timing.authority, 1.0 + m_timing.drift) + m_timing.margin;
+    bool isChanged = false;
+    std::vector<RangeRow> rows;
+    for (const RangeRow &row : m_table->rows()) {
+        const bool isOwn = row.owner == m_self;
+        const bool mayRelease = isOwn && !row.successor.empty() && !mayBeHeld(now, row.range);
+        const auto succession = m_successions.find({row.range.first, row.epoch});
+        const bool mayTake = succession != m_successions.end() && now >= succession->second + wait;
+        if (mayRelease) {
+            for (RangeRow &piece : handedOver(row)) {
+                piece.epoch = next;
+                rows.push_back(std::move(piece));
+            }
+        } else if (mayTake) {
+            rows.push_back({row.range, m_self, next, {}, {}});
+        } else if (isOwn && row.successor.empty() && m_hasBackend && needsNewEpoch(row)
+                   && !mayBeHeld(now, row.range)) {
+            rows.push_back({row.range, m_self, next, {}, {}});
+        } else {
+            rows.push_back(row);
+            continue;
+        }
+        isChanged = true;
+    }
+    if (!isChanged)
+        return std::nullopt;
+    auto table = RangeTable::create(std::move(rows), next);
+    return table ? std::optional<RangeTable>(std::move(*table)) : std::nullopt;
+}
+
+} // namespace Medlar::KeyRange
--- /dev/null
+++ b/src/libs/keyrange/rangeplanner.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/time.h"
+#include "rangeloadmeter.h"
+#include "rangetable.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Medlar::KeyRange {
+
+/*! A node whose BackendServer can hold ranges of the service. */
+struct RangeNode
+{
+    std::string id;              //!< as the table names it
+    bool takesRanges = false;    //!< ready, and its zone is in service
+    bool mustGiveRanges = false; //!< leaving, out of service, or lost for longer than a restart
+    double slots = 1.0;
+    double slowness = 1.0; //!< time that work takes here, relative to the mean of the service
+};
+
+struct PlannerSettings
+{
+    /*! Ranges of a node in the first table. Interleaved, since busy keys are neighbours. */
+    std::size_t firstRangesPerNode = 8;
+    /*! Ranges that may be on the move at the same time, so that few keys wait. */
+    std::size_t maxMoves = 6;
+    /*! More ranges would make the answer to a heartbeat too long. */
+    std::size_t maxRangesPerNode = 36;
+    /*! Nodes are balanced while the busiest exceeds the mean by this share ... */
+    double imbalance = 0.25;
+    /*! ... and by this many busy slots for each slot; below it no caller waits. */
+    double minExcess = 0.12;
+};
+
+/*!
+    Plans which ranges change hands. It sets successors only; owners let go by themselves, see
+   RangeKeeper. Answers the load patterns "a stretch of keys becomes hot", "a BackendServer joins",
+   "leaves" and "is lost": the busiest and smallest pieces move first, because keys that change
+   hands are unserved for a moment.
+*/
+class RangePlanner
+{
+public:
+    explicit RangePlanner(const PlannerSettings &settings = {}) : m_settings(settings) {}
+
+    /*! The first table of a service, or nothing without nodes. */
+    std::optional<RangeTable> firstTable(const std::vector<RangeNode> &nodes) const;
+
+    /*! The table with further or other successors, or nothing when none has to change. \a loads
+     * are the last reports of all nodes. */
+    std::optional<RangeTable> plan(const RangeTable &table, const std::vector<RangeNode> &nodes,
+                                   const std::vector<RangeLoad> &loads) const;
+
+private:
+    struct Draft;
+
+    void replaceLostSuccessors(Draft &draft) const;
+    void emptyLeavingNodes(Draft &draft) const;
+    void balance(Draft &draft) const;
+    bool moveOne(Draft &draft) const;
+
+    PlannerSettings m_settings;
+};
+
+} // namespace Medlar::KeyRange
--- /dev/null
+++ b/src/libs/keyrange/rangetable.cpp
@@ -0,0 +1,132 @@
+#include "rangetable.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Medlar::KeyRange {
+
+using nlohmann::json;
+
+namespace {
+
+tl::unexpected<RangeTableError> failure(std::string detail)
+{
+    return tl::unexpected(RangeTableError{std::move(detail)});
+}
+
+json toJsonRow(const RangeRow &row)
+{
+    json result = {row.range.first, row.range.last, row.owner, row.epoch};
+    if (!row.successor.empty() || !row.handover.empty()) {
+        result.push_back(row.successor);
+        result.push_back(row.handover);
+    }
+    return result;
+}
+
+bool isKey(const json &value)
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= LastKey;
+}
+
+bool readRow(const json &value, RangeRow &row)
+{
+    constexpr std::size_t ShortRow = 4;
+    constexpr std::size_t LongRow = 6;
+    if (!value.is_array() || (value.size() != ShortRow && value.size() != LongRow)
+        || !isKey(value[0]) || !isKey(value[1]) || !value[2].is_string()
+        || !value[3].is_number_unsigned())
+        return false;
+    row.range = {value[0].get<Key>(), value[1].get<Key>()};
+    row.owner = value[2].get<std::string>();
+    row.epoch = value[3].get<Epoch>();
+    if (value.size() == ShortRow)
+        return true;
+    if (!value[4].is_string() || !value[5].is_string())
+        return false;
+    row.successor = value[4].get<std::string>();
+    row.handover = value[5].get<std::string>();
+    return true;
+}
+
+} // namespace
+
+RangeTable::RangeTable(std::vector<RangeRow> rows, Epoch lastEpoch)
+    : m_rows(std::move(rows)), m_lastEpoch(lastEpoch)
+{}
+
+tl::expected<RangeTable, RangeTableError> RangeTable::create(std::vector<RangeRow> rows,
+                                                             Epoch lastEpoch)
+{
+    Key next = 0;
+    for (const RangeRow &row : rows) {
+        if (row.range.first != next || row.range.last < row.range.first || row.range.last > LastKey)
+            return failure("ranges overlap or leave keys out at " + std::to_string(next));
+        if (row.owner.empty())
+            return failure("range at " + std::to_string(next) + " has no owner");
+        if (row.epoch == 0 || row.epoch > lastEpoch)
+            return failure("range at " + std::to_string(next) + " has a wrong epoch");
+        next = row.range.last + 1;
+    }
+    if (next != LastKey + 1)
+        return failure("ranges end at " + std::to_string(next));
+    return RangeTable(std::move(rows), lastEpoch);
+}
+
+tl::expected<RangeTable, RangeTableError> RangeTable::parse(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object() || !value.contains("epoch") || !value.contains("rows")
+        || !value["epoch"].is_number_unsigned() || !value["rows"].is_array())
+        return failure("not a range table");
+    std::vector<RangeRow> rows(value["rows"].size());
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        if (!readRow(value["rows"][i], rows[i]))
+            return failure("row " + std::to_string(i) + " cannot be read");
+    }
+    return create(std::move(rows), value["epoch"].get<Epoch>());
+}
+
+std::string RangeTable::toJson() const
+{
+    json rows = json::array();
+    for (const RangeRow &row : m_rows)
+        rows.push_back(toJsonRow(row));
+    return json{{"epoch", m_lastEpoch}, {"rows", std::move(rows)}}.dump();
+}
+
+const RangeRow &RangeTable::row(Key key) const
+{
+    const auto after = std::upper_bound(
+        m_rows.begin(), m_rows.end(), key,
+        [](Key wanted, const RangeRow &candidate) { return wanted < candidate.range.first; });
+    return *std::prev(after);
+}
+
+std::size_t isolate(std::vector<RangeRow> &rows, const Range &range)
+{
+    const auto found = std::find_if(rows.begin(), rows.end(), [&range](const RangeRow &row) {
+        return row.range.contains(range);
+    });
+    auto index = static_cast<std::size_t>(found - rows.begin());
+    const RangeRow whole = rows[index];
+    const auto insertCopyAfter = [&rows, &whole](std::size_t position) {
+        rows.insert(rows.begin() + static_cast<std::ptrdiff_t>(position) + 1, whole);
+    };
+    if (whole.range.last > range.last) {
+        insertCopyAfter(index);
+        rows[index].range.last = range.last;
+        rows[index + 1].range.first = range.last + 1;
+    }
+    if (whole.range.first < range.first) {
+        const RangeRow part = rows[index];
+        rows.insert(rows.begin() + static_cast<std::ptrdiff_t>(index), part);
+        rows[index].range.last = range.first - 1;
+        ++index;
+        rows[index].range.first = range.first;
+    }
+    return index;
+}
+
+} // namespace Medlar::KeyRange
--- a/src/libs/messages/fieldwriter.h
+++ b/src/libs/messages/fieldwriter.h
@@ -77,6 +77,20 @@
     }
     void write(const SlotEpoch &value) { writePair(value.slot, value.epoch); }
     void write(const SlotWeight &value) { writePair(value.slot, value.requests); }
+    void write(const ObjectChanged &value)
+    {
+        writeHead(cbor_encode_array_start, 3);
+        write(value.key);
+        write(value.version);
+        write(value.value);
+    }
+    void write(const KeyRangeLoad &value)
+    {
+        writeHead(cbor_encode_array_start, 3);
+        write(value.first);
+        write(value.last);
+        write(value.load);
+    }
     template<typename Period>
     void write(std::chrono::duration<std::int64_t, Period> value)
     {
--- a/src/libs/messages/messagecodec.cpp
+++ b/src/libs/messages/messagecodec.cpp
@@ -70,8 +70,8 @@
     constexpr std::size_t EmptyArray = 0x80;
     constexpr std::size_t LargestInOneByte = 23;
     constexpr std::size_t Length = 1 + Internal::FieldCount<Message>;
-    static_assert(Length <= LargestInOneByte && Type <= LargestInOneByte);
-    if constexpr (Internal::IsFlatMessage<Message>)
+    static_assert(Length <= LargestInOneByte);
+    if constexpr (Internal::IsFlatMessage<Message> && Type <= LargestInOneByte)
         return {EmptyArray + Length, &decodeFlat<Type>};
     else
         return {};
--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -25,6 +25,15 @@
     return Outcome::Unknown;
 }
 
+constexpr BackendState lastValue(BackendState /*unused*/)
+{
+    return BackendState::Evacuated;
+}
+constexpr StoreCall::Kind lastValue(StoreCall::Kind /*unused*/)
+{
+    return StoreCall::Kind::Remove;
+}
+
 /*! Longest accepted list in a message. */
 constexpr std::size_t MaxElements = 100000;
 
@@ -103,6 +112,16 @@
     {
         return isPair(json) && read(json[0], out.slot) && read(json[1], out.requests);
     }
+    static bool read(const Json &json, ObjectChanged &out)
+    {
+        return json.is_array() && json.size() == 3 && read(json[0], out.key)
+               && read(json[1], out.version) && read(json[2], out.value);
+    }
+    static bool read(const Json &json, KeyRangeLoad &out)
+    {
+        return json.is_array() && json.size() == 3 && read(json[0], out.first)
+               && read(json[1], out.last) && read(json[2], out.load);
+    }
     template<typename First, typename Second>
     static bool read(const Json &json, std::pair<First, Second> &out)
     {
@@ -288,7 +307,7 @@
         &ForwardRequest::slot, &ForwardRequest::epoch, &ForwardRequest::configurationVersion,
         &ForwardRequest::deadlineLeft, &ForwardRequest::requestClass, &ForwardRequest::idempotent,
         &ForwardRequest::method, &ForwardRequest::target, &ForwardRequest::headers,
-        &ForwardRequest::body);
+        &ForwardRequest::body, &ForwardRequest::priority, &ForwardRequest::targetLeft);
 };
 
 template<>
@@ -297,7 +316,8 @@
     static constexpr auto Members = std::make_tuple(
         &ForwardResponse::streamId, &ForwardResponse::requestId, &ForwardResponse::outcome,
         &ForwardResponse::status, &ForwardResponse::error, &ForwardResponse::newerEpoch,
-        &ForwardResponse::headers, &ForwardResponse::body);
+        &ForwardResponse::headers, &ForwardResponse::body, &ForwardResponse::running,
+        &ForwardResponse::waiting, &ForwardResponse::retryAfter);
 };
 
 template<>
@@ -322,6 +342,45 @@
         = std::make_tuple(&SlotsServed::instance, &SlotsServed::service, &SlotsServed::slots);
 };
 
+template<>
+struct FieldList<NodeStatus>
+{
+    static constexpr auto Members
+        = std::make_tuple(&NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
+                          &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
+                          &NodeStatus::configurationVersion, &NodeStatus::rangeVersion);
+};
+
+template<>
+struct FieldList<NodeLoad>
+{
+    static constexpr auto Members
+        = std::make_tuple(&NodeLoad::running, &NodeLoad::waiting, &NodeLoad::serviceTime);
+};
+
+template<>
+struct FieldList<StoreCall>
+{
+    static constexpr auto Members
+        = std::make_tuple(&StoreCall::callId, &StoreCall::kind, &StoreCall::key, &StoreCall::value,
+                          &StoreCall::expected);
+};
+
+template<>
+struct FieldList<StoreReply>
+{
+    static constexpr auto Members
+        = std::make_tuple(&StoreReply::callId, &StoreReply::error, &StoreReply::detail,
+                          &StoreReply::version, &StoreReply::objects);
+};
+
+template<>
+struct FieldList<KeyRangeLoads>
+{
+    static constexpr auto Members
+        = std::make_tuple(&KeyRangeLoads::service, &KeyRangeLoads::ranges);
+};
+
 template<typename Message>
 constexpr std::size_t FieldCount = std::tuple_size_v<decltype(FieldList<Message>::Members)>;
 
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -179,6 +179,8 @@
     std::string target;
     Headers headers;
     std::string body;
+    std::uint32_t priority = 0;              //!< of the route, 0 is the most urgent
+    std::chrono::milliseconds targetLeft{0}; //!< until the answer is late, though still wanted
 };
 
 struct ForwardResponse
@@ -191,6 +193,9 @@
     Cluster::Epoch newerEpoch = 0; //!< set when the receiver is not the owner
     Headers headers;
     std::string body;
+    std::uint32_t running = 0;               //!< requests at the BackendServer after this one
+    std::uint32_t waiting = 0;               //!< for the BackendServer
+    std::chrono::milliseconds retryAfter{0}; //!< when there may be room again, if it was declined
 };
 
 struct CancelRequest
@@ -225,10 +230,80 @@
     std::vector<SlotEpoch> slots;
 };
 
+// Back ends that hold key ranges themselves, see docs/platform.md.
+
+/*! What the BackendServer of a node takes. */
+enum class BackendState : std::uint8_t {
+    Absent = 0, //!< none has announced itself, or its life is uncertain
+    Ready = 1,
+    Cold = 2, //!< takes little
+    Draining = 3,
+    Evacuated = 4 //!< operators took its AvailabilityZone out of service
+};
+
+/*! The state of the sender, sent on each change and on each new link. */
+struct NodeStatus
+{
+    std::string region;
+    std::string availabilityZone;
+    std::string service;
+    std::string backend; //!< id of the BackendServer
+    BackendState state = BackendState::Absent;
+    std::uint32_t slots = 0;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t rangeVersion = 0;
+};
+
+/*! Load of the sender's BackendServer, sent now and then to nodes that send requests. */
+struct NodeLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::chrono::microseconds serviceTime{0}; //!< recent mean
+};
+
+/*! A call to the object store that the receiver makes for the sender, which is turned away. */
+struct StoreCall
+{
+    enum class Kind : std::uint8_t { Get = 0, List = 1, Put = 2, Remove = 3 };
+
+    std::uint64_t callId = 0;
+    Kind kind = Kind::Get;
+    std::string key;
+    std::string value;
+    std::uint64_t expected = 0; //!< version, of changes
+};
+
+/*! Answers StoreCall. */
+struct StoreReply
+{
+    std::uint64_t callId = 0;
+    std::uint8_t error = 0; //!< 0: none; otherwise 1 + Store::StoreErrorCode
+    std::string detail;
+    std::uint64_t version = 0; //!< of a change, or the current one after a conflict
+    std::vector<ObjectChanged> objects;
+};
+
+/*! Busy time of the BackendServer for the keys from \a first to \a last. */
+struct KeyRangeLoad
+{
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint32_t load = 0; //!< thousandths of a busy slot
+};
+
+/*! What the ranges of the sender cost it; to the node that plans the moves of \a service. */
+struct KeyRangeLoads
+{
+    std::string service;
+    std::vector<KeyRangeLoad> ranges;
+};
+
 using PeerMessage
     = std::variant<AdoptTerm, TermAdopted, RenewLease, LeaseGranted, LeaseRefused, SealProposal,
                    SealPromise, Sealed, ReleaseRequest, Released, EntriesChanged, ObjectDelta,
                    ObjectChanged, Digest, DigestReply, Acknowledged, ForwardRequest,
-                   ForwardResponse, CancelRequest, LoadSummary, SlotsServed>;
+                   ForwardResponse, CancelRequest, LoadSummary, SlotsServed, NodeStatus, NodeLoad,
+                   StoreCall, StoreReply, KeyRangeLoads>;
 
 } // namespace Medlar::Messages
--- /dev/null
+++ b/src/libs/relay/fleetview.cpp
@@ -0,0 +1,127 @@
+#include "fleetview.h"
+
+#include <algorithm>
+
+namespace Medlar::Relay {
+
+namespace {
+
+// Weight of one request in the mean latency and in the share of failures.
+constexpr double RequestShare = 0.1;
+// A node that failed is used last for this long, and longer if its failures go on.
+constexpr std::chrono::milliseconds AvoidPause{200};
+constexpr std::chrono::milliseconds MaxAvoidPause{2000};
+
+} // namespace
+
+FleetView::FleetView(std::string self, const NodePlace &place) : m_self(std::move(self))
+{
+    NodeView &view = m_nodes[m_self];
+    view.place = place;
+    view.isRecorded = true;
+    view.isLinked = true;
+}
+
+void FleetView::setRecorded(const std::string &node, const NodePlace &place)
+{
+    if (node == m_self)
+        return;
+    NodeView &view = m_nodes[node];
+    view.place = place;
+    view.isRecorded = true;
+}
+
+void FleetView::setRemoved(const std::string &node)
+{
+    const auto found = m_nodes.find(node);
+    if (node == m_self || found == m_nodes.end())
+        return;
+    if (found->second.isLinked)
+        found->second.isRecorded = false;
+    else
+        m_nodes.erase(found);
+}
+
+void FleetView::setLinked(Base::TimePoint now, const std::string &node, bool isLinked)
+{
+    NodeView &view = m_nodes[node];
+    if (view.isLinked == isLinked)
+        return;
+    view.isLinked = isLinked;
+    view.linkChanged = now;
+    if (isLinked)
+        return;
+    view.status.state = Messages::BackendState::Absent;
+    view.outstanding = 0;
+    if (!view.isRecorded)
+        m_nodes.erase(node);
+}
+
+void FleetView::onStatus(Base::TimePoint now, const std::string &node,
+                         const Messages::NodeStatus &status)
+{
+    NodeView &view = m_nodes[node];
+    if (status.backend != view.status.backend) {
+        view.failures = 0.0;
+        view.avoidUntil = now;
+        view.latency = Base::Duration::zero();
+    }
+    view.status = status;
+}
+
+void FleetView::onLoad(Base::TimePoint now, const std::string &node, const Messages::NodeLoad &load)
+{
+    NodeView &view = m_nodes[node];
+    const auto serviceTime
+        = load.serviceTime.count() > 0 ? load.serviceTime : view.load.serviceTime;
+    view.load = load;
+    view.load.serviceTime = serviceTime;
+    view.loadAt = now;
+}
+
+void FleetView::onSent(const std::string &node)
+{
+    ++m_nodes[node].outstanding;
+}
+
+void FleetView::onEnded(Base::TimePoint now, const std::string &node, Base::Duration latency,
+                        bool hasFailed)
+{
+    const auto found = m_nodes.find(node);
+    if (found == m_nodes.end())
+        return;
+    NodeView &view = found->second;
+    view.outstanding -= view.outstanding > 0 ? 1 : 0;
+    view.failures += ((hasFailed ? 1.0 : 0.0) - view.failures) * RequestShare;
+    if (hasFailed) {
+        const auto pause = std::chrono::duration_cast<Base::Duration>(
+            std::chrono::duration<double, std::milli>(AvoidPause) * (1.0 + 10.0 * view.failures));
+        view.avoidUntil = now + std::min<Base::Duration>(pause, MaxAvoidPause);
+        return;
+    }
+    const double share = view.latency.count() == 0 ? 1.0 : RequestShare;
+    view.latency += std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, Base::Duration::period>(latency - view.latency) * share);
+}
+
+const NodeView *FleetView::find(const std::string &node) const
+{
+    const auto found = m_nodes.find(node);
+    return found == m_nodes.end() ? nullptr : &found->second;
+}
+
+const NodeView *FleetView::findRangeOwner(const std::string &id, std::string *name) const
+{
+    const std::size_t slash = id.rfind('/');
+    if (slash == std::string::npos)
+        return nullptr;
+    const std::string node = id.substr(0, slash);
+    const NodeView *const view = find(node);
+    if (!view || rangeOwnerId(node, view->place) != id)
+        return nullptr;
+    if (name)
+        *name = node;
+    return view;
+}
+
+} // namespace Medlar::Relay
--- /dev/null
+++ b/src/libs/relay/localbackend.cpp
@@ -0,0 +1,349 @@
+#include "localbackend.h"
+
+#include "http/headers.h"
+
+#include <algorithm>
+
+namespace Medlar::Relay {
+
+using Messages::ForwardRequest;
+using Messages::ForwardResponse;
+using Messages::Outcome;
+
+namespace {
+
+// A BackendServer answers 504 at the deadline that it was given; its answer has to get here.
+constexpr std::chrono::milliseconds AnswerGrace{60};
+// A request whose caller left may end by itself within this time; closing its connection would cost
+// a new one.
+constexpr std::chrono::milliseconds CancelGrace{200};
+// Keys that are on their way arrive with the next heartbeat.
+constexpr std::chrono::milliseconds KeyWait{900};
+// An idle connection may have been forgotten by the BackendServer. Requests that must not run twice
+// are not risked on one that was idle for long.
+constexpr std::chrono::milliseconds MaxIdleNonIdempotent{1000};
+// A request that found its kept connection closed is sent once more, on a new one.
+constexpr unsigned MaxSends = 2;
+
+Base::TimePoint steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+LocalBackend::LocalBackend(boost::asio::io_context &context,
+                           const Http::BackendClientSettings &settings,
+                           const BackendDialect &dialect, LocalBackendHooks hooks,
+                           Base::LogSink &log, Metrics::MetricRegistry &metrics)
+    : m_timers(context)
+    , m_dialect(dialect)
+    , m_hooks(std::move(hooks))
+    , m_log(log)
+    , m_serviceTimes(metrics.latency("medlar_backend_service_seconds",
+                                     "Time from the send to the answer of the backend server"))
+    , m_metrics(metrics)
+    , m_client(Http::BackendClient::create(context, settings))
+{}
+
+LocalBackend::~LocalBackend() = default;
+
+void LocalBackend::setService(const std::string &service, const std::string &backend)
+{
+    if (backend != m_backend)
+        forgetConnections();
+    m_service = service;
+    m_backend = backend;
+}
+
+void LocalBackend::forgetConnections()
+{
+    m_client->closeIdle();
+}
+
+void LocalBackend::setCondition(const Gate::BackendCondition &condition)
+{
+    m_gate.setCondition(steadyNow(), condition);
+    if (condition.isPresent)
+        m_refusedInRow = 0;
+    pump();
+}
+
+void LocalBackend::onKeysChanged()
+{
+    for (const std::uint64_t handle : std::exchange(m_awaitingKeys, {})) {
+        if (m_pending.count(handle) != 0)
+            admit(handle);
+    }
+    pump();
+}
+
+std::uint64_t LocalBackend::handle(ForwardRequest request, Base::TimePoint deadline,
+                                   AnswerCallback done)
+{
+    const std::uint64_t handle = ++m_lastHandle;
+    Pending &pending = m_pending[handle];
+    if (request.key) {
+        if (const auto key = Http::parseNumber(*request.key))
+            pending.key = static_cast<std::uint32_t>(std::min<std::uint64_t>(*key, UINT32_MAX));
+    }
+    pending.request = std::move(request);
+    pending.deadline = deadline;
+    pending.done = std::move(done);
+    pending.arrived = steadyNow();
+    admit(handle);
+    pump();
+    return handle;
+}
+
+void LocalBackend::admit(std::uint64_t handle)
+{
+    Pending &pending = m_pending.at(handle);
+    const Base::TimePoint now = steadyNow();
+    if (pending.request.service != m_service) {
+        decline(handle, "other-service", Base::Duration::zero());
+        return;
+    }
+    if (pending.key && m_hooks.keyState) {
+        const KeyState state = m_hooks.keyState(*pending.key);
+        const Base::TimePoint patience
+            = pending.arrived
+              + std::min<Base::Duration>(KeyWait, (pending.deadline - pending.arrived) / 2);
+        if (state == KeyState::Expected && now < patience) {
+            m_awaitingKeys.push_back(handle);
+            armPump();
+            return;
+        }
+        if (state != KeyState::Held) {
+            decline(handle, "key-not-held", Base::Duration::zero());
+            return;
+        }
+    }
+    const auto ticket = m_gate.offer(
+        now, {pending.request.priority, now + pending.request.targetLeft, pending.deadline});
+    if (!ticket) {
+        decline(handle, std::string(toString(ticket.error().reason)), ticket.error().retryAfter);
+        return;
+    }
+    pending.ticket = *ticket;
+    m_byTicket[*ticket] = handle;
+}
+
+void LocalBackend::pump()
+{
+    const Base::TimePoint now = steadyNow();
+    while (const auto ticket = m_gate.next(now)) {
+        const auto found = m_byTicket.find(*ticket);
+        if (found == m_byTicket.end()) {
+            m_gate.onFinished(now, Base::Duration::zero(), false);
+            continue;
+        }
+        const std::uint64_t handle = found->second;
+        m_byTicket.erase(found);
+        start(handle);
+    }
+    for (const auto &[ticket, reason] : m_gate.takeDeclined(now)) {
+        const auto found = m_byTicket.find(ticket);
+        if (found == m_byTicket.end())
+            continue;
+        const std::uint64_t handle = found->second;
+        m_byTicket.erase(found);
+        decline(handle, std::string(toString(reason.reason)), reason.retryAfter);
+    }
+    armPump();
+}
+
+// Turns also come with time: a cold BackendServer may take the next request, keys arrive, and
+// waiting requests expire.
+void LocalBackend::armPump()
+{
+    const Base::TimePoint now = steadyNow();
+    auto turn = m_gate.nextTurn(now);
+    if (!turn && !m_awaitingKeys.empty())
+        turn = now + std::chrono::milliseconds(50);
+    if (!turn || m_isPumpArmed)
+        return;
+    m_isPumpArmed = true;
+    m_timers.add(*turn, [this] {
+        m_isPumpArmed = false;
+        onKeysChanged();
+    });
+}
+
+void LocalBackend::start(std::uint64_t handle)
+{
+    Pending &pending = m_pending.at(handle);
+    pending.isRunning = true;
+    pending.started = steadyNow();
+    ++pending.sends;
+    Http::BackendRequest send;
+    send.request = m_dialect.toBackend(pending.request, m_backend);
+    send.requestId = pending.request.requestId;
+    send.deadline = pending.deadline + AnswerGrace;
+    if (pending.sends > 1)
+        send.maxIdle = std::chrono::milliseconds(-1);
+    else if (!pending.request.idempotent)
+        send.maxIdle = MaxIdleNonIdempotent;
+    send.prepare = [this, deadline = pending.deadline](Http::HttpRequest &request) {
+        const auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - steadyNow());
+        if (left.count() <= 0)
+            return false;
+        m_dialect.setTimeLeft(request, left);
+        return true;
+    };
+    send.done = [this, handle](Http::BackendResult result) { onResult(handle, std::move(result)); };
+    pending.sendId = m_client->send(std::move(send));
+}
+
+void LocalBackend::onResult(std::uint64_t handle, Http::BackendResult result)
+{
+    if (m_pending.count(handle) == 0)
+        return;
+    if (result)
+        onAnswer(handle, std::move(*result));
+    else
+        onNoAnswer(handle, result.error());
+    pump();
+}
+
+void LocalBackend::onAnswer(std::uint64_t handle, Http::HttpResponse response)
+{
+    const AnswerReading reading = m_dialect.read(response);
+    const bool wasAnswered = reading.kind == AnswerKind::Answered;
+    m_refusedInRow = 0;
+    ForwardResponse answer;
+    if (reading.kind == AnswerKind::NotRun) {
+        if (reading.isOtherBackend && m_hooks.onSuspect)
+            m_hooks.onSuspect();
+        if (!reading.isOtherBackend && !reading.isKeyRefused)
+            m_gate.onShed(steadyNow());
+        answer.outcome = Outcome::NotRun;
+        answer.error = reading.isKeyRefused ? "key-refused" : "backend-declined";
+        answer.retryAfter
+            = std::chrono::duration_cast<std::chrono::milliseconds>(m_gate.serviceTime());
+    } else if (wasAnswered) {
+        answer.outcome = Outcome::Answered;
+        answer.status = response.status;
+        answer.headers = std::move(response.headers);
+        answer.body = std::move(response.body);
+    } else {
+        answer.outcome = Outcome::Unknown;
+        answer.error = "backend-answer-unusable";
+    }
+    release(handle, wasAnswered);
+    finish(handle, std::move(answer));
+}
+
+void LocalBackend::onNoAnswer(std::uint64_t handle, const Http::BackendError &error)
+{
+    using Code = Http::BackendErrorCode;
+    const bool isCutOff = error.code == Code::Refused || error.code == Code::CutOff;
+    if (isCutOff && m_hooks.onSuspect)
+        m_hooks.onSuspect();
+    const Pending &pending = m_pending.at(handle);
+    const bool mayRepeat = !error.sent || pending.request.idempotent;
+    const bool isAtOnce = steadyNow() - pending.started < std::chrono::milliseconds(5);
+    // A kept connection that the BackendServer had closed says nothing about its state.
+    if (error.code == Code::CutOff && mayRepeat && isAtOnce && pending.sends < MaxSends
+        && !pending.isAbandoned) {
+        start(handle);
+        return;
+    }
+    ForwardResponse answer;
+    answer.outcome = error.sent ? Outcome::Unknown : Outcome::NotRun;
+    answer.error = std::string(toString(error.code));
+    release(handle, false);
+    finish(handle, std::move(answer));
+}
+
+void LocalBackend::release(std::uint64_t handle, bool wasAnswered)
+{
+    Pending &pending = m_pending.at(handle);
+    const Base::TimePoint now = steadyNow();
+    const Base::Duration service = now - pending.started;
+    pending.isRunning = false;
+    m_gate.onFinished(now, service, wasAnswered);
+    if (wasAnswered)
+        m_serviceTimes.add(service);
+    if (pending.key && m_hooks.onKeyUsed)
+        m_hooks.onKeyUsed(*pending.key, service);
+}
+
+void LocalBackend::decline(std::uint64_t handle, const std::string &reason,
+                           Base::Duration retryAfter)
+{
+    ForwardResponse answer;
+    answer.outcome = Outcome::NotRun;
+    answer.error = reason;
+    answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter);
+    m_metrics
+        .counter("medlar_gate_declined_total", "Requests that the gate declined",
+                 {{"reason", reason}})
+        .add();
+    finish(handle, std::move(answer));
+}
+
+void LocalBackend::finish(std::uint64_t handle, ForwardResponse response)
+{
+    const auto found = m_pending.find(handle);
+    if (found == m_pending.end())
+        return;
+    const Pending pending = std::move(found->second);
+    m_pending.erase(found);
+    response.requestId = pending.request.requestId;
+    response.running = m_gate.running();
+    response.waiting = m_gate.waiting();
+    logEnd(pending, response);
+    if (!pending.isAbandoned)
+        pending.done(std::move(response));
+}
+
+void LocalBackend::logEnd(const Pending &pending, const ForwardResponse &response) const
+{
+    using Milliseconds = std::chrono::milliseconds;
+    const Base::TimePoint now = steadyNow();
+    const auto begun = pending.sends > 0 ? pending.started : now;
+    Base::LogLine line("gate");
+    line.add("request_id", pending.request.requestId)
+        .add("backend", m_backend)
+        .add("outcome", response.outcome == Outcome::Answered ? "answered"
+                        : response.outcome == Outcome::NotRun ? "not-run"
+                                                              : "unknown")
+        .add("reason", response.error)
+        .add("status", response.status)
+        .add("wait_ms", std::chrono::duration_cast<Milliseconds>(begun - pending.arrived))
+        .add("service_ms", std::chrono::duration_cast<Milliseconds>(now - begun))
+        .add("left_ms", std::chrono::duration_cast<Milliseconds>(pending.deadline - now))
+        .add("running", m_gate.running())
+        .add("waiting", m_gate.waiting())
+        .add("abandoned", pending.isAbandoned);
+    if (pending.key)
+        line.add("key", *pending.key);
+    m_log.write(line);
+}
+
+void LocalBackend::cancel(std::uint64_t handle)
+{
+    const auto found = m_pending.find(handle);
+    if (found == m_pending.end())
+        return;
+    Pending &pending = found->second;
+    pending.isAbandoned = true;
+    if (!pending.isRunning) {
+        m_gate.cancel(pending.ticket);
+        m_byTicket.erase(pending.ticket);
+        finish(handle, {});
+        return;
+    }
+    // A request that must not run twice is left to end, so that its effect is whole.
+    if (!pending.request.idempotent)
+        return;
+    m_timers.add(steadyNow() + CancelGrace, [this, handle] {
+        const auto running = m_pending.find(handle);
+        if (running != m_pending.end())
+            m_client->cancel(running->second.sendId);
+    });
+}
+
+} // namespace Medlar::Relay
--- /dev/null
+++ b/src/libs/relay/placechooser.cpp
@@ -0,0 +1,78 @@
+#include "placechooser.h"
+
+#include <algorithm>
+
+namespace Medlar::Relay {
+
+namespace {
+
+// Costs are in milliseconds of expected latency.
+constexpr double ZoneCost = 2.0;
+// The way to another region and back takes 40 ms; its bytes are billed, so it has to gain more.
+constexpr double RegionCost = 120.0;
+constexpr double AvoidCost = 400.0;
+constexpr double FailureCost = 500.0; //!< for a node that fails all requests
+constexpr double ColdCost = 60.0;
+constexpr double DefaultServiceMs = 40.0;
+// Reports older than this say little; the requests that this daemon sent since then say more.
+constexpr std::chrono::milliseconds LoadAge{1500};
+// Costs vary by this share, so that daemons with the same reports do not all choose the same node.
+constexpr double Jitter = 0.3;
+
+double milliseconds(Base::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+PlaceChooser::PlaceChooser(std::string region, std::string availabilityZone, std::uint64_t seed)
+    : m_region(std::move(region)), m_zone(std::move(availabilityZone)), m_random(seed)
+{}
+
+double PlaceChooser::cost(Base::TimePoint now, const std::string &name, const NodeView &node,
+                          const FleetView &fleet) const
+{
+    const double slots = std::max<std::uint32_t>(1, node.status.slots);
+    const double service = node.load.serviceTime.count() > 0 ? milliseconds(node.load.serviceTime)
+                                                             : DefaultServiceMs;
+    const double reported = node.load.running + node.load.waiting;
+    const double freshness
+        = std::clamp(1.0 - milliseconds(now - node.loadAt) / milliseconds(LoadAge), 0.0, 1.0);
+    const double load = std::max<double>(node.outstanding, reported * freshness);
+    // A busy node is slower before all its slots are taken.
+    const double wait = std::max(0.0, load + 1.0 - slots) / slots + 0.3 * load / slots;
+    double cost = service * (1.0 + wait);
+    if (name != fleet.self())
+        cost += node.place.availabilityZone == m_zone ? 0.5 : ZoneCost;
+    if (node.place.region != m_region)
+        cost += RegionCost;
+    if (now < node.avoidUntil)
+        cost += AvoidCost;
+    if (node.status.state == Messages::BackendState::Cold)
+        cost += ColdCost;
+    return cost + FailureCost * node.failures;
+}
+
+std::optional<std::string> PlaceChooser::choose(Base::TimePoint now, const FleetView &fleet,
+                                                const PlaceWish &wish)
+{
+    std::uniform_real_distribution<double> jitter(1.0, 1.0 + Jitter);
+    const std::string *best = nullptr;
+    double bestCost = 0.0;
+    for (const auto &[name, node] : fleet.nodes()) {
+        const bool isAllowed
+            = wish.allowedRegions.empty() || wish.allowedRegions.count(node.place.region) != 0;
+        if (node.status.service != wish.service || !node.takesRequests() || !isAllowed
+            || wish.excluded.count(name) != 0)
+            continue;
+        const double nodeCost = cost(now, name, node, fleet) * jitter(m_random);
+        if (!best || nodeCost < bestCost) {
+            best = &name;
+            bestCost = nodeCost;
+        }
+    }
+    return best ? std::optional<std::string>(*best) : std::nullopt;
+}
+
+} // namespace Medlar::Relay
--- /dev/null
+++ b/src/libs/relay/placechooser.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fleetview.h"
+
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace Medlar::Relay {
+
+/*! What a request asks of the node that serves it. */
+struct PlaceWish
+{
+    std::string service;
+    std::set<std::string> allowedRegions; //!< empty: any
+    std::set<std::string> excluded;       //!< nodes that were tried
+    Base::Duration targetLeft{0};         //!< until the answer is late
+};
+
+/*!
+    Chooses the node that serves a request of a service without keys. Answers the load patterns
+   "the caller's region is full" (others are used once waiting there costs more than the way),
+   "BackendServers of unlike speed" and "a BackendServer fails a part of its requests".
+*/
+class PlaceChooser
+{
+public:
+    PlaceChooser(std::string region, std::string availabilityZone, std::uint64_t seed);
+
+    std::optional<std::string> choose(Base::TimePoint now, const FleetView &fleet,
+                                      const PlaceWish &wish);
+
+private:
+    double cost(Base::TimePoint now, const std::string &name, const NodeView &node,
+                const FleetView &fleet) const;
+
+    std::string m_region;
+    std::string m_zone;
+    std::mt19937_64 m_random;
+};
+
+} // namespace Medlar::Relay
--- a/src/libs/store/objectstore.h
+++ b/src/libs/store/objectstore.h
@@ -2,6 +2,7 @@
 
 #include <tl/expected.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -38,6 +39,13 @@
     Version revision = 0; //!< pass as \a after to the next watch
 };
 
+/*! Objects as they were at \a revision, from which a watch can go on. */
+struct ListResult
+{
+    std::vector<StoredObject> objects;
+    Version revision = 0;
+};
+
 /*! Calls that wait for a connection to the store. */
 struct CallQueue
 {
@@ -79,6 +87,20 @@
 
     virtual void get(const std::string &key, Callback<StoredObject> callback) = 0;
     virtual void list(const std::string &prefix, Callback<std::vector<StoredObject>> callback) = 0;
+    /*! Lists and tells from which revision to watch. */
+    virtual void listAt(const std::string &prefix, Callback<ListResult> callback)
+    {
+        list(prefix, [callback = std::move(callback)](Result<std::vector<StoredObject>> objects) {
+            if (!objects) {
+                callback(tl::unexpected(objects.error()));
+                return;
+            }
+            Version revision = 0;
+            for (const StoredObject &object : *objects)
+                revision = std::max(revision, object.version);
+            callback(ListResult{std::move(*objects), revision});
+        });
+    }
     /*! Lists keys and versions; values may be empty. Implementations that can list without values
      * override it. */
     virtual void listKeys(const std::string &prefix, Callback<std::vector<StoredObject>> callback)
--- a/src/libs/store/storeconnection.cpp
+++ b/src/libs/store/storeconnection.cpp
@@ -1,5 +1,8 @@
 #include "storeconnection.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace Medlar::Store {
@@ -25,6 +28,23 @@
     return error.category() == httpCategory ? CallFailureKind::Malformed : CallFailureKind::Closed;
 }
 
+// A connection may fall silent for good without a reset. A watch would notice that only at the end
+// of its long wait, so the kernel probes idle connections.
+void enableLivenessProbes(int socket)
+{
+    constexpr int On = 1;
+    constexpr int IdleSeconds = 1;
+    constexpr int IntervalSeconds = 1;
+    constexpr int Probes = 2;
+    constexpr unsigned UnacknowledgedMs = 2000;
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof(On));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &IdleSeconds, sizeof(IdleSeconds));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &IntervalSeconds, sizeof(IntervalSeconds));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+                 sizeof(UnacknowledgedMs));
+}
+
 } // namespace
 
 StoreConnection::StoreConnection(boost::asio::io_context &context,
@@ -54,6 +74,7 @@
         self->m_connected = true;
         Beast::error_code ignored;
         self->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        enableLivenessProbes(self->m_stream.socket().native_handle());
         self->write();
     });
 }
