--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -345,10 +345,17 @@
 template<>
 struct FieldList<NodeStatus>
 {
-    static constexpr auto Members
-        = std::make_tuple(&NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
-                          &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
-                          &NodeStatus::configurationVersion, &NodeStatus::rangeVersion);
+    static constexpr auto Members = std::make_tuple(
+        &NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
+        &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
+        &NodeStatus::configurationVersion, &NodeStatus::rangeVersion,
+        &NodeStatus::evacuationRevision, &NodeStatus::evacuatedZones, &NodeStatus::reachesStore);
+};
+
+template<>
+struct FieldList<ObjectRequest>
+{
+    static constexpr auto Members = std::make_tuple(&ObjectRequest::key);
 };
 
 template<>
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -251,7 +251,17 @@
     BackendState state = BackendState::Absent;
     std::uint32_t slots = 0;
     std::uint64_t configurationVersion = 0;
-    std::uint64_t rangeVersion = 0;
+    std::uint64_t rangeVersion = 0;       //!< of the table of the sender's service
+    std::uint64_t evacuationRevision = 0; //!< of the store, at which the next field was true
+    std::string evacuatedZones;           //!< separated by commas
+    bool reachesStore = false;
+};
+
+/*! Asks for an object of the store that the receiver knows in a newer version; answered by
+    ObjectChanged. */
+struct ObjectRequest
+{
+    std::string key;
 };
 
 /*! Load of the sender's BackendServer, sent now and then to nodes that send requests. */
@@ -304,6 +314,6 @@
                    SealPromise, Sealed, ReleaseRequest, Released, EntriesChanged, ObjectDelta,
                    ObjectChanged, Digest, DigestReply, Acknowledged, ForwardRequest,
                    ForwardResponse, CancelRequest, LoadSummary, SlotsServed, NodeStatus, NodeLoad,
-                   StoreCall, StoreReply, KeyRangeLoads>;
+                   StoreCall, StoreReply, KeyRangeLoads, ObjectRequest>;
 
 } // namespace Medlar::Messages
--- /dev/null
+++ b/src/libs/relay/relayedstore.cpp
@@ -0,0 +1,262 @@
+#include "relayedstore.h"
+
+#include <utility>
+
+namespace Medlar::Relay {
+
+using Messages::StoreCall;
+using Messages::StoreReply;
+using Store::StoredObject;
+using Store::StoreError;
+using Store::StoreErrorCode;
+using Store::Version;
+
+namespace {
+
+// After a refusal, calls go through peers at once for this long; refused calls are billed too.
+constexpr std::chrono::milliseconds DirectPause{1500};
+// A call of the peer and the way there and back.
+constexpr std::chrono::milliseconds RelayTimeout{1200};
+
+StoreError errorOf(const StoreReply &reply)
+{
+    return {static_cast<StoreErrorCode>(reply.error - 1), reply.detail, reply.version};
+}
+
+template<typename T>
+bool setError(StoreReply &reply, const Store::Result<T> &result)
+{
+    if (result)
+        return false;
+    reply.error = static_cast<std::uint8_t>(1 + static_cast<int>(result.error().code));
+    reply.detail = result.error().detail;
+    reply.version = result.error().currentVersion;
+    return true;
+}
+
+StoredObject toStored(const Messages::ObjectChanged &object)
+{
+    return {object.key, object.value.value_or(std::string()), object.version, {}};
+}
+
+std::function<void(const StoreReply &)> asVersion(Store::Callback<Version> callback)
+{
+    return [callback = std::move(callback)](const StoreReply &reply) {
+        if (reply.error != 0)
+            callback(tl::unexpected(errorOf(reply)));
+        else
+            callback(reply.version);
+    };
+}
+
+} // namespace
+
+RelayedStore::RelayedStore(boost::asio::io_context &context, Store::ObjectStore &direct,
+                           std::function<bool(const StoreCall &)> send, Base::LogSink &log)
+    : m_direct(direct), m_send(std::move(send)), m_log(log), m_timers(context)
+{}
+
+RelayedStore::~RelayedStore() = default;
+
+bool RelayedStore::mayTryDirect() const
+{
+    return m_isDirect || std::chrono::steady_clock::now() - m_failedAt > DirectPause;
+}
+
+bool RelayedStore::shouldRelay(const StoreError *error)
+{
+    const bool isAnswered = !error || error->code == StoreErrorCode::NotFound
+                            || error->code == StoreErrorCode::Conflict
+                            || error->code == StoreErrorCode::TooLarge;
+    if (isAnswered != m_isDirect)
+        m_log.write(Base::LogLine(isAnswered ? "store-direct" : "store-turned-away")
+                        .add("detail", error ? error->detail : std::string()));
+    m_isDirect = isAnswered;
+    if (!isAnswered)
+        m_failedAt = std::chrono::steady_clock::now();
+    return !isAnswered && error->code != StoreErrorCode::Indeterminate;
+}
+
+void RelayedStore::relay(StoreCall call, ReplyCallback done)
+{
+    call.callId = ++m_lastCall;
+    const std::uint64_t id = call.callId;
+    const bool isChange = call.kind == StoreCall::Kind::Put || call.kind == StoreCall::Kind::Remove;
+    m_calls[id] = std::move(done);
+    const auto fail = [this, id](StoreErrorCode code, const char *detail) {
+        StoreReply reply;
+        reply.callId = id;
+        reply.error = static_cast<std::uint8_t>(1 + static_cast<int>(code));
+        reply.detail = detail;
+        onReply(reply);
+    };
+    if (!m_send(call)) {
+        // Callbacks never run within the call that got them.
+        m_timers.add(std::chrono::steady_clock::now(),
+                     [fail] { fail(StoreErrorCode::Unavailable, "no peer reaches the store"); });
+        return;
+    }
+    m_timers.add(std::chrono::steady_clock::now() + RelayTimeout, [fail, isChange] {
+        fail(isChange ? StoreErrorCode::Indeterminate : StoreErrorCode::Unavailable,
+             "peer has not answered");
+    });
+}
+
+void RelayedStore::onReply(const StoreReply &reply)
+{
+    const auto found = m_calls.find(reply.callId);
+    if (found == m_calls.end())
+        return;
+    const ReplyCallback done = std::move(found->second);
+    m_calls.erase(found);
+    done(reply);
+}
+
+void RelayedStore::get(const std::string &key, Store::Callback<StoredObject> callback)
+{
+    const auto relayed = [this, key, callback] {
+        relay({0, StoreCall::Kind::Get, key, {}, 0}, [callback](const StoreReply &reply) {
+            if (reply.error != 0)
+                callback(tl::unexpected(errorOf(reply)));
+            else if (reply.objects.empty())
+                callback(tl::unexpected(StoreError{StoreErrorCode::InvalidAnswer, "no object", 0}));
+            else
+                callback(toStored(reply.objects.front()));
+        });
+    };
+    if (!mayTryDirect()) {
+        relayed();
+        return;
+    }
+    m_direct.get(key, [this, relayed, callback](const Store::Result<StoredObject> &result) {
+        if (shouldRelay(result ? nullptr : &result.error()))
+            relayed();
+        else
+            callback(result);
+    });
+}
+
+void RelayedStore::list(const std::string &prefix,
+                        Store::Callback<std::vector<StoredObject>> callback)
+{
+    listAt(prefix, [callback = std::move(callback)](Store::Result<Store::ListResult> result) {
+        if (result)
+            callback(std::move(result->objects));
+        else
+            callback(tl::unexpected(result.error()));
+    });
+}
+
+void RelayedStore::listAt(const std::string &prefix, Store::Callback<Store::ListResult> callback)
+{
+    const auto relayed = [this, prefix, callback] {
+        relay({0, StoreCall::Kind::List, prefix, {}, 0}, [callback](const StoreReply &reply) {
+            if (reply.error != 0) {
+                callback(tl::unexpected(errorOf(reply)));
+                return;
+            }
+            Store::ListResult result;
+            result.revision = reply.version;
+            for (const Messages::ObjectChanged &object : reply.objects)
+                result.objects.push_back(toStored(object));
+            callback(std::move(result));
+        });
+    };
+    if (!mayTryDirect()) {
+        relayed();
+        return;
+    }
+    m_direct.listAt(prefix, [this, relayed, callback](const Store::Result<Store::ListResult> &r) {
+        if (shouldRelay(r ? nullptr : &r.error()))
+            relayed();
+        else
+            callback(r);
+    });
+}
+
+void RelayedStore::put(const std::string &key, const std::string &value, Version expected,
+                       Store::Callback<Version> callback)
+{
+    const auto relayed = [this, key, value, expected, callback] {
+        relay({0, StoreCall::Kind::Put, key, value, expected}, asVersion(callback));
+    };
+    if (!mayTryDirect()) {
+        relayed();
+        return;
+    }
+    m_direct.put(key, value, expected, [this, relayed, callback](const Store::Result<Version> &r) {
+        if (shouldRelay(r ? nullptr : &r.error()))
+            relayed();
+        else
+            callback(r);
+    });
+}
+
+void RelayedStore::remove(const std::string &key, Version expected,
+                          Store::Callback<Version> callback)
+{
+    const auto relayed = [this, key, expected, callback] {
+        relay({0, StoreCall::Kind::Remove, key, {}, expected}, asVersion(callback));
+    };
+    if (!mayTryDirect()) {
+        relayed();
+        return;
+    }
+    m_direct.remove(key, expected, [this, relayed, callback](const Store::Result<Version> &r) {
+        if (shouldRelay(r ? nullptr : &r.error()))
+            relayed();
+        else
+            callback(r);
+    });
+}
+
+void RelayedStore::watch(const std::string &prefix, Version after,
+                         std::chrono::milliseconds timeout,
+                         Store::Callback<Store::WatchResult> callback)
+{
+    m_direct.watch(prefix, after, timeout, std::move(callback));
+}
+
+void RelayedStore::serve(Store::ObjectStore &store, const StoreCall &call,
+                         std::function<void(StoreReply)> done)
+{
+    const auto onVersion = [done, id = call.callId](const Store::Result<Version> &result) {
+        StoreReply reply;
+        reply.callId = id;
+        if (!setError(reply, result))
+            reply.version = *result;
+        done(std::move(reply));
+    };
+    switch (call.kind) {
+    case StoreCall::Kind::Get:
+        store.get(call.key, [done, id = call.callId](const Store::Result<StoredObject> &result) {
+            StoreReply reply;
+            reply.callId = id;
+            if (!setError(reply, result))
+                reply.objects.push_back({result->key, result->version, result->value});
+            done(std::move(reply));
+        });
+        break;
+    case StoreCall::Kind::List:
+        store.listAt(
+            call.key, [done, id = call.callId](const Store::Result<Store::ListResult> &result) {
+                StoreReply reply;
+                reply.callId = id;
+                if (!setError(reply, result)) {
+                    reply.version = result->revision;
+                    for (const StoredObject &object : result->objects)
+                        reply.objects.push_back({object.key, object.version, object.value});
+                }
+                done(std::move(reply));
+            });
+        break;
+    case StoreCall::Kind::Put:
+        store.put(call.key, call.value, call.expected, onVersion);
+        break;
+    case StoreCall::Kind::Remove:
+        store.remove(call.key, call.expected, onVersion);
+        break;
+    }
+}
+
+} // namespace Medlar::Relay
