--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -105,6 +105,8 @@
     Base::TimePoint authorityEnd() const;
     /*! Whether the BackendServer holds \a key. */
     bool isHeld(Base::TimePoint now, Key key) const;
+    /*! Whether what the BackendServer holds lasts for another \a time without renewal. */
+    bool holdsFor(Base::TimePoint now, Base::Duration time) const;
     /*! Whether a range is about to arrive, so that the answer to a heartbeat should wait for it. */
     bool expectsRanges() const;
     /*! Whether the owner has to let go a range. */
--- a/src/libs/keyrange/rangetable.cpp
+++ b/src/libs/keyrange/rangetable.cpp
@@ -96,6 +96,36 @@
     return json{{"epoch", m_lastEpoch}, {"rows", std::move(rows)}}.dump();
 }
 
+std::string RangeTable::deltaFrom(const RangeTable &former) const
+{
+    json rows = json::array();
+    for (const RangeRow &row : m_rows) {
+        if (!(former.row(row.range.first) == row))
+            rows.push_back(toJsonRow(row));
+    }
+    return json{{"epoch", m_lastEpoch}, {"rows", std::move(rows)}}.dump();
+}
+
+tl::expected<RangeTable, RangeTableError> RangeTable::patched(std::string_view delta) const
+{
+    const json value = json::parse(delta, nullptr, false);
+    if (!value.is_object() || !value.contains("epoch") || !value.contains("rows")
+        || !value["epoch"].is_number_unsigned() || !value["rows"].is_array())
+        return failure("not a change of a range table");
+    std::vector<RangeRow> rows = m_rows;
+    for (const json &entry : value["rows"]) {
+        RangeRow changed;
+        if (!readRow(entry, changed))
+            return failure("changed row cannot be read");
+        const RangeRow &container = row(changed.range.first);
+        if (changed.range.last < changed.range.first || !container.range.contains(changed.range))
+            return failure("changed row is no part of a row");
+        const std::size_t index = isolate(rows, changed.range);
+        rows[index] = changed;
+    }
+    return create(std::move(rows), value["epoch"].get<Epoch>());
+}
+
 const RangeRow &RangeTable::row(Key key) const
 {
     const auto after = std::upper_bound(
--- a/src/libs/keyrange/rangetable.h
+++ b/src/libs/keyrange/rangetable.h
@@ -45,6 +45,12 @@
     HandoverToken handover; //!< of the former owner
 };
 
+inline bool operator==(const RangeRow &a, const RangeRow &b)
+{
+    return a.range == b.range && a.owner == b.owner && a.epoch == b.epoch
+           && a.successor == b.successor && a.handover == b.handover;
+}
+
 /*! A table that cannot be used. */
 struct RangeTableError
 {
@@ -62,6 +68,11 @@
     static tl::expected<RangeTable, RangeTableError> parse(std::string_view json);
     std::string toJson() const;
 
+    /*! What has to be known beside \a former to get this table, as JSON. */
+    std::string deltaFrom(const RangeTable &former) const;
+    /*! The table that \a delta makes of this one. Fails if they do not belong together. */
+    tl::expected<RangeTable, RangeTableError> patched(std::string_view delta) const;
+
     const std::vector<RangeRow> &rows() const { return m_rows; }
     const RangeRow &row(Key key) const;
     Epoch lastEpoch() const { return m_lastEpoch; }
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -63,12 +63,23 @@
 
 void LocalBackend::setCondition(const Gate::BackendCondition &condition)
 {
+    if (m_isClosing)
+        return;
     m_gate.setCondition(steadyNow(), condition);
     if (condition.isPresent)
         m_refusedInRow = 0;
     pump();
 }
 
+void LocalBackend::startClosing()
+{
+    m_isClosing = true;
+    Gate::BackendCondition condition = m_gate.condition();
+    condition.isPresent = false;
+    m_gate.setCondition(steadyNow(), condition);
+    onKeysChanged();
+}
+
 void LocalBackend::onKeysChanged()
 {
     for (const std::uint64_t handle : std::exchange(m_awaitingKeys, {})) {
@@ -100,6 +111,10 @@
 {
     Pending &pending = m_pending.at(handle);
     const Base::TimePoint now = steadyNow();
+    if (m_isClosing) {
+        decline(handle, "stopping", Base::Duration::zero());
+        return;
+    }
     if (pending.request.service != m_service) {
         decline(handle, "other-service", Base::Duration::zero());
         return;
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -49,6 +49,8 @@
     void setCondition(const Gate::BackendCondition &condition);
     /*! The BackendServer restarted: kept connections are of no use. */
     void forgetConnections();
+    /*! Declines everything from now on; what runs goes on. */
+    void startClosing();
     /*! Keys arrived or left; requests that wait for them are looked at again. */
     void onKeysChanged();
 
@@ -108,6 +110,7 @@
     std::uint64_t m_lastHandle = 0;
     unsigned m_refusedInRow = 0;
     bool m_isPumpArmed = false;
+    bool m_isClosing = false;
     std::unique_ptr<Http::BackendClient> m_client; //!< last, since its callbacks use the rest
 };
 
