KeyRange: Plan moves by demand, best pair first, and carry loads over

Cause: a full backend server showed at most its slots as load, so a hot key (112 req/s on one key, 8 slots of work) looked like 6; ranges that moved counted as idle for a second and others followed them back and forth. Ruled out: planning rarely (an excess of 0.2 only: no difference to the chasing); moves to the least used node regardless of its speed.

--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -198,9 +198,8 @@
 {
     // The ends of grants include the time by which they may be overestimated.
     const Base::Duration reserve = scaled(m_timing.hold, 2 * m_timing.drift) + 2 * m_timing.margin;
-    return std::all_of(m_grants.begin(), m_grants.end(), [&](const Grant &grant) {
-        return grant.until > now + time + reserve;
-    });
+    return std::all_of(m_grants.begin(), m_grants.end(),
+                       [&](const Grant &grant) { return grant.until > now + time + reserve; });
 }
 
 bool RangeKeeper::expectsRanges() const
--- a/src/libs/keyrange/rangeloadmeter.cpp
+++ b/src/libs/keyrange/rangeloadmeter.cpp
@@ -17,10 +17,10 @@
 
 RangeLoadMeter::RangeLoadMeter() : m_window(LastKey + 1), m_average(LastKey + 1) {}
 
-void RangeLoadMeter::add(Key key, Base::Duration busy)
+void RangeLoadMeter::add(Key key, Base::Duration usual)
 {
     if (key <= LastKey)
-        m_window[key] += std::chrono::duration_cast<Seconds>(busy).count();
+        m_window[key] += std::chrono::duration_cast<Seconds>(usual).count();
 }
 
 std::vector<RangeLoad> RangeLoadMeter::report(Base::TimePoint now,
--- a/src/libs/keyrange/rangeloadmeter.h
+++ b/src/libs/keyrange/rangeloadmeter.h
@@ -7,7 +7,8 @@
 
 namespace Medlar::KeyRange {
 
-/*! Busy slots that a range costs, as a mean over the last seconds. */
+/*! Busy slots that a range asks for, as a mean over the last seconds; more than there are when
+    requests wait. */
 struct RangeLoad
 {
     Range range;
@@ -24,8 +25,8 @@
 public:
     RangeLoadMeter();
 
-    /*! A request for \a key occupied a slot for \a busy. */
-    void add(Key key, Base::Duration busy);
+    /*! A request for \a key arrived, which usually occupies a slot for \a usual. */
+    void add(Key key, Base::Duration usual);
 
     /*! Ends a window that began at the previous call. Returns the load of \a rows, divided into
      * pieces that cost about \a pieceLoad busy slots at most, where keys allow it. */
--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -15,6 +15,9 @@
     double utilization() const { return load / std::max(node.slots, 1.0); }
 };
 
+// A range of this many keys has to relieve twice as much as a single key.
+constexpr double KeysForHalfScore = 2048.0;
+
 /*! Load of a range, from the pieces that lie in it. */
 double loadOf(const Range &range, const std::vector<RangeLoad> &loads)
 {
@@ -76,6 +79,18 @@
         }
         return best;
     }
+    std::vector<RangeRow>::const_iterator rowOf(const Range &range) const
+    {
+        return std::find_if(rows.begin(), rows.end(),
+                            [&range](const RangeRow &row) { return row.range.contains(range); });
+    }
+    /*! Utilization of the busier one after \a busySlots moved from \a source to \a target. */
+    static double busierAfter(const NodeState &source, const NodeState &target, double busySlots)
+    {
+        const double ratio = target.node.slowness / std::max(0.1, source.node.slowness);
+        return std::max((source.load - busySlots) / std::max(source.node.slots, 1.0),
+                        (target.load + busySlots * ratio) / std::max(target.node.slots, 1.0));
+    }
     void setSuccessor(std::size_t index, const std::string &successor)
     {
         account(rows[index], -1.0);
@@ -106,10 +121,31 @@
     return table ? std::optional<RangeTable>(std::move(*table)) : std::nullopt;
 }
 
-std::optional<RangeTable> RangePlanner::plan(const RangeTable &table,
+std::vector<RangeLoad> RangePlanner::withCarriedLoads(Base::TimePoint now,
+                                                      const std::vector<RangeLoad> &loads)
+{
+    m_carried.erase(std::remove_if(m_carried.begin(), m_carried.end(),
+                                   [now](const Carried &entry) { return entry.until <= now; }),
+                    m_carried.end());
+    std::vector<RangeLoad> result;
+    for (const RangeLoad &load : loads) {
+        const bool isCarried
+            = std::any_of(m_carried.begin(), m_carried.end(), [&load](const Carried &entry) {
+                  return entry.load.range.overlaps(load.range);
+              });
+        if (!isCarried)
+            result.push_back(load);
+    }
+    for (const Carried &entry : m_carried)
+        result.push_back(entry.load);
+    return result;
+}
+
+std::optional<RangeTable> RangePlanner::plan(Base::TimePoint now, const RangeTable &table,
                                              const std::vector<RangeNode> &nodes,
-                                             const std::vector<RangeLoad> &loads) const
+                                             const std::vector<RangeLoad> &reported)
 {
+    const std::vector<RangeLoad> loads = withCarriedLoads(now, reported);
     Draft draft{table.rows(), loads, {}, 0, false};
     for (const RangeNode &node : nodes)
         draft.nodes[node.id] = {node, 0.0, 0};
@@ -123,6 +159,11 @@
     balance(draft);
     if (!draft.isChanged)
         return std::nullopt;
+    for (const RangeRow &row : draft.rows) {
+        const RangeRow &former = table.row(row.range.first);
+        if (!row.successor.empty() && former.successor != row.successor)
+            m_carried.push_back({{row.range, loadOf(row.range, loads)}, now + m_settings.settling});
+    }
     auto result = RangeTable::create(std::move(draft.rows), table.lastEpoch());
     return result ? std::optional<RangeTable>(std::move(*result)) : std::nullopt;
 }
@@ -160,11 +201,10 @@
         ++draft.moves;
 }
 
-// Moves the piece of the busiest node that comes nearest to evening out both nodes; among similar
-// ones that with the fewest keys.
+// Moves the piece of the busiest node, to the node, by which the busier of both gets least busy. A
+// key that alone is too much for its node goes to a faster one, and others leave that node then.
 bool RangePlanner::moveOne(Draft &draft) const
 {
-    NodeState *const target = draft.least(m_settings.maxRangesPerNode);
     NodeState *source = nullptr;
     double capacity = 0.0;
     double load = 0.0;
@@ -176,36 +216,42 @@
         if (!source || state.utilization() > source->utilization())
             source = &state;
     }
-    if (!source || !target || source == target || capacity <= 0.0)
+    if (!source || capacity <= 0.0)
         return false;
+    const double busiest = source->utilization();
     const double mean = load / capacity;
-    const double excess = source->utilization() - mean;
-    if (excess < m_settings.minExcess
-        || source->utilization() < mean * (1.0 + m_settings.imbalance))
+    if (busiest - mean < m_settings.minExcess || busiest < mean * (1.0 + m_settings.imbalance))
         return false;
 
-    const double gap = source->utilization() - target->utilization();
-    const double wanted = std::min(excess * source->node.slots, gap * source->node.slots / 2);
     const Range *best = nullptr;
+    const NodeState *target = nullptr;
     double bestScore = 0.0;
     for (const RangeLoad &piece : draft.loads) {
-        const auto row = std::find_if(draft.rows.begin(), draft.rows.end(), [&](const RangeRow &r) {
-            return r.range.contains(piece.range);
-        });
-        if (row == draft.rows.end() || row->owner != source->node.id || !row->successor.empty())
+        const auto row = draft.rowOf(piece.range);
+        const bool isSettling
+            = std::any_of(m_carried.begin(), m_carried.end(), [&piece](const Carried &entry) {
+                  return entry.load.range.overlaps(piece.range);
+              });
+        if (isSettling || row == draft.rows.end() || row->owner != source->node.id
+            || !row->successor.empty())
             continue;
-        const double relief = std::min(piece.busySlots, 2 * wanted - piece.busySlots);
-        // Keys that move are priced and may have to warm up, so load for each key counts.
-        const double score = relief / (1.0 + piece.range.size() / 2048.0);
-        if (relief > wanted * 0.1 && score > bestScore) {
-            best = &piece.range;
-            bestScore = score;
+        for (const auto &[id, state] : draft.nodes) {
+            if (&state == source || !state.node.takesRanges
+                || state.ranges >= m_settings.maxRangesPerNode)
+                continue;
+            const double relief = busiest - draft.busierAfter(*source, state, piece.busySlots);
+            // Keys that move are priced and may have to warm up, so load for each key counts.
+            const double score = relief / (1.0 + piece.range.size() / KeysForHalfScore);
+            if (relief >= m_settings.minRelief && score > bestScore) {
+                best = &piece.range;
+                target = &state;
+                bestScore = score;
+            }
         }
     }
     if (!best)
         return false;
-    const auto row = std::find_if(draft.rows.begin(), draft.rows.end(),
-                                  [&](const RangeRow &r) { return r.range.contains(*best); });
+    const auto row = draft.rowOf(*best);
     draft.account(*row, -1.0);
     const Range whole = row->range;
     const std::size_t index = isolate(draft.rows, *best);
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -31,8 +31,14 @@
     std::size_t maxRangesPerNode = 36;
     /*! Nodes are balanced while the busiest exceeds the mean by this share ... */
     double imbalance = 0.25;
-    /*! ... and by this many busy slots for each slot; below it no caller waits. */
+    /*! ... and by this many busy slots for each slot. Neighbours on the same machine may slow a
+     * BackendServer down to a third for a moment, so callers wait long before all slots are busy.
+     */
     double minExcess = 0.12;
+    /*! After this time the reports of the new owner show the load of a range that moved. */
+    Base::Duration settling = std::chrono::milliseconds(2500);
+    /*! A move has to lower the highest utilization by this much. */
+    double minRelief = 0.06;
 };
 
 /*!
@@ -51,8 +57,9 @@
 
     /*! The table with further or other successors, or nothing when none has to change. \a loads
      * are the last reports of all nodes. */
-    std::optional<RangeTable> plan(const RangeTable &table, const std::vector<RangeNode> &nodes,
-                                   const std::vector<RangeLoad> &loads) const;
+    std::optional<RangeTable> plan(Base::TimePoint now, const RangeTable &table,
+                                   const std::vector<RangeNode> &nodes,
+                                   const std::vector<RangeLoad> &loads);
 
 private:
     struct Draft;
@@ -61,8 +68,19 @@
     void emptyLeavingNodes(Draft &draft) const;
     void balance(Draft &draft) const;
     bool moveOne(Draft &draft) const;
+    std::vector<RangeLoad> withCarriedLoads(Base::TimePoint now,
+                                            const std::vector<RangeLoad> &loads);
+
+    /*! A range that was sent to another node, with the load that it had. Reports of the former and
+     * of the new owner are too low for a while, which would make further ranges follow. */
+    struct Carried
+    {
+        RangeLoad load;
+        Base::TimePoint until;
+    };
 
     PlannerSettings m_settings;
+    std::vector<Carried> m_carried;
 };
 
 } // namespace Medlar::KeyRange
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -134,6 +134,8 @@
             return;
         }
     }
+    if (pending.key && m_hooks.onKeyWanted)
+        m_hooks.onKeyWanted(*pending.key, m_gate.serviceTime());
     const auto ticket = m_gate.offer(
         now, {pending.request.priority, now + pending.request.targetLeft, pending.deadline});
     if (!ticket) {
@@ -281,8 +283,6 @@
     m_gate.onFinished(now, service, wasAnswered);
     if (wasAnswered)
         m_serviceTimes.add(service);
-    if (pending.key && m_hooks.onKeyUsed)
-        m_hooks.onKeyUsed(*pending.key, service);
 }
 
 void LocalBackend::decline(std::uint64_t handle, const std::string &reason,
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -21,8 +21,9 @@
 struct LocalBackendHooks
 {
     std::function<KeyState(std::uint32_t key)> keyState;
-    /*! A request for \a key occupied a slot for \a busy. */
-    std::function<void(std::uint32_t key, Base::Duration busy)> onKeyUsed;
+    /*! A request for \a key arrived, which usually occupies a slot for \a usual. Called for those
+     * that are declined for overload as well, since a full BackendServer shows no further load. */
+    std::function<void(std::uint32_t key, Base::Duration usual)> onKeyWanted;
     /*! Connections were refused or cut; the BackendServer may have restarted. */
     std::function<void()> onSuspect;
 };
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -22,6 +22,9 @@
 // Keys that have no reachable owner come back within seconds, not at once.
 constexpr milliseconds NoOwnerRetryAfter{300};
 constexpr milliseconds MinRetryAfter{30};
+// For the response to reach its caller in time. A caller that sees its deadline pass closes the
+// connection, with the requests that it sent behind.
+constexpr milliseconds ResponseWay{10};
 // One way of a message, subtracted from the time left that the receiver is told.
 constexpr milliseconds RegionWay{22};
 constexpr milliseconds ZoneWay{2};
