--- a/src/libs/gate/backendgate.cpp
+++ b/src/libs/gate/backendgate.cpp
@@ -110,10 +110,17 @@
     const std::uint32_t free = m_running < limit(now) ? limit(now) - m_running : 0;
     const auto turns = std::max<std::ptrdiff_t>(0, ahead + 1 - static_cast<std::ptrdiff_t>(free));
     const Base::Duration wait = turnTime(now) * turns;
-    const bool isTooLate = turns > 0 && now + wait + m_serviceTime > request.deadline;
-    const bool isFull = m_queue.size() >= MaxWaitingPerSlot * m_condition.slots;
-    if (isTooLate || isFull)
+    if (turns > 0 && now + wait + m_serviceTime > request.deadline)
         return tl::unexpected(Decline{DeclineReason::Overloaded, wait});
+    if (m_queue.size() >= MaxWaitingPerSlot * m_condition.slots) {
+        // A full queue of less urgent requests must not keep an urgent one out.
+        const auto last = std::prev(m_queue.end());
+        if (!(order < last->first))
+            return tl::unexpected(Decline{DeclineReason::Overloaded, wait});
+        m_declined.emplace_back(last->first.ticket,
+                                Decline{DeclineReason::Overloaded, turnTime(now)});
+        m_queue.erase(last);
+    }
     m_queue.emplace(order, request);
     return order.ticket;
 }
--- a/src/libs/http/backendclient.h
+++ b/src/libs/http/backendclient.h
@@ -26,6 +26,8 @@
     std::string requestIdHeader = "Medlar-Request-Id"; //!< in which responses repeat the id
     /*! Takes a response without a length that ends with an orderly close of its connection. */
     bool acceptsBodyUntilClose = false;
+    /*! After a response to another request, wait for the own one instead of giving up. */
+    bool waitsBehindOtherResponse = false;
     /*! Idle connections older than this are not used; a Keep-Alive header may shorten it. */
     std::chrono::milliseconds maxIdle{60000};
 };
@@ -59,9 +61,6 @@
     HttpRequest request;
     std::string requestId; //!< a response that names another one is not accepted
     Base::TimePoint deadline;
-    /*! A connection that was idle for longer is not used, since the server may have forgotten it.
-     */
-    std::chrono::milliseconds maxIdle = std::chrono::milliseconds::max();
     /*!
         Called directly before the first byte is sent; may still change the headers. The request is
        not sent when it returns false. May be empty.
@@ -69,6 +68,9 @@
     std::function<bool(HttpRequest &)> prepare;
     /*! Called exactly once, and never within send(). */
     std::function<void(BackendResult)> done;
+    /*! A connection that was idle for longer is not used, since the server may have forgotten it.
+     */
+    std::chrono::milliseconds maxIdle = std::chrono::milliseconds::max();
 };
 
 using BackendRequestId = std::uint64_t;
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -158,7 +158,7 @@
     if (!isForRequest()) {
         ++m_counters.mismatchedResponses;
         m_sawOtherResponse = true;
-        if (message.keep_alive())
+        if (m_settings.waitsBehindOtherResponse && message.keep_alive())
             read(); // the response to this request may follow
         else
             fail(BackendErrorCode::Mismatched);
--- a/src/libs/http/httptypes.h
+++ b/src/libs/http/httptypes.h
@@ -54,12 +54,12 @@
 {
     std::string method;
     std::string target;
-    std::string host; //!< value of the Host header, which is not among the headers
     Headers headers;
     std::string body;
     bool isFromLoopback = false;
-    Base::TimePoint received;               //!< when its first bytes were read
-    std::shared_ptr<CallerPresence> caller; //!< empty outside a connection of a caller
+    std::string host = {};         //!< value of the Host header, which is not among the headers
+    Base::TimePoint received = {}; //!< when its first bytes were read
+    std::shared_ptr<CallerPresence> caller = {}; //!< empty outside a connection of a caller
 };
 
 struct HttpResponse
--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+// What another BackendServer holds is not in the reports of the present one.
+constexpr std::uint64_t NeverReported = UINT64_MAX;
 // Lives of a BackendServer that one process of the daemon tells apart within an epoch.
 constexpr FencingToken LivesPerEpoch = 1024;
 
@@ -17,8 +19,9 @@
 
 } // namespace
 
-RangeKeeper::RangeKeeper(std::string self, Base::TimePoint startedAt, const KeeperTiming &timing)
-    : m_self(std::move(self)), m_startedAt(startedAt), m_timing(timing)
+RangeKeeper::RangeKeeper(std::string self, Base::TimePoint startedAt, const KeeperTiming &timing,
+                         const KeeperRules &rules)
+    : m_self(std::move(self)), m_startedAt(startedAt), m_timing(timing), m_rules(rules)
 {}
 
 void RangeKeeper::onTable(Base::TimePoint now, TableVersion version, const RangeTable &table)
@@ -74,7 +77,11 @@
 // the BackendServer proves by holding the range that its life is the same.
 bool RangeKeeper::needsNewEpoch(const RangeRow &row) const
 {
-    return m_inheritedEpoch && row.epoch <= *m_inheritedEpoch && !isReported(row.range)
+    const bool isProved = std::any_of(m_held.begin(), m_held.end(), [&row](const HeldRange &held) {
+        return held.range.contains(row.range) && held.token / LivesPerEpoch == row.epoch;
+    });
+    return m_rules.raisesEpochAfterRestart && m_inheritedEpoch && row.epoch <= *m_inheritedEpoch
+           && !isProved
            && std::none_of(m_grants.begin(), m_grants.end(), [&row](const Grant &grant) {
                   return grant.isOffered && grant.range.contains(row.range);
               });
@@ -88,8 +95,10 @@
         // the former one still runs, so what that one holds has to expire.
         if (m_hasBackend && report.backend == m_backend)
             m_grants.clear();
-        for (Grant &grant : m_grants)
+        for (Grant &grant : m_grants) {
             grant.isOffered = false;
+            grant.withheldAt = NeverReported;
+        }
         m_freed.clear();
         m_lifeNumber += m_hasBackend ? 1 : 0;
         m_hasBackend = true;
@@ -126,12 +135,12 @@
                                   [now](const Grant &grant) { return grant.until <= now; }),
                    m_grants.end());
     // What a former process of this daemon granted may be believed in for a whole hold.
+    std::vector<Range> known;
+    for (const Grant &grant : m_grants)
+        known.push_back(grant.range);
     for (const HeldRange &held : m_held) {
-        const bool isKnown
-            = std::any_of(m_grants.begin(), m_grants.end(),
-                          [&held](const Grant &grant) { return grant.range.contains(held.range); });
-        if (!isKnown)
-            m_grants.push_back({held.range,
+        for (const Range &part : subtracted(held.range, known))
+            m_grants.push_back({part,
                                 now + scaled(m_timing.hold, 1.0 + m_timing.drift) + m_timing.margin,
                                 false, report.sequence});
     }
@@ -139,7 +148,8 @@
         = scaled(authorityEnd() == Base::TimePoint::min() ? Base::Duration::zero()
                                                           : authorityEnd() - now - m_timing.margin,
                  1.0 / (1.0 + m_timing.drift));
-    const Base::Duration hold = std::min(m_timing.hold, left);
+    const Base::Duration hold
+        = m_rules.limitsHoldsByAuthority ? std::min(m_timing.hold, left) : m_timing.hold;
     if (!m_table || hold < m_timing.minHold)
         return std::nullopt;
 
@@ -155,17 +165,19 @@
             {row.range, tokenOf(row), isReported(row.range) ? HandoverToken() : row.handover});
         grants.push_back({row.range, until, true, 0});
     }
-    for (Grant &grant : m_grants) {
-        const bool isRenewed = std::any_of(grants.begin(), grants.end(), [&grant](const Grant &g) {
-            return g.range.contains(grant.range);
-        });
-        if (isRenewed)
-            continue;
-        if (grant.isOffered) {
-            grant.isOffered = false;
-            grant.withheldAt = report.sequence;
+    std::vector<Range> renewed;
+    for (const Grant &grant : grants)
+        renewed.push_back(grant.range);
+    for (const Grant &grant : m_grants) {
+        for (const Range &part : subtracted(grant.range, renewed)) {
+            Grant withheld = grant;
+            withheld.range = part;
+            if (grant.isOffered) {
+                withheld.isOffered = false;
+                withheld.withheldAt = report.sequence;
+            }
+            grants.push_back(withheld);
         }
-        grants.push_back(grant);
     }
     m_grants = std::move(grants);
     return answer;
@@ -245,7 +257,9 @@
 {
     const Base::TimePoint formerHoldsEnd
         = m_startedAt + scaled(m_timing.hold, 1.0 + m_timing.drift) + m_timing.margin;
-    if (!m_hasBackend && now < formerHoldsEnd)
+    if (!m_rules.waitsForRelease)
+        return false;
+    if (m_rules.keepsOwnRestartsApart && !m_hasBackend && now < formerHoldsEnd)
         return true;
     return std::any_of(m_grants.begin(), m_grants.end(), [&](const Grant &grant) {
         return grant.range.overlaps(range) && grant.until > now;
@@ -264,7 +278,8 @@
         const bool isOwn = row.owner == m_self;
         const bool mayRelease = isOwn && !row.successor.empty() && !mayBeHeld(now, row.range);
         const auto succession = m_successions.find({row.range.first, row.epoch});
-        const bool mayTake = succession != m_successions.end() && now >= succession->second + wait;
+        const bool mayTake = succession != m_successions.end()
+                             && (now >= succession->second + wait || !m_rules.waitsBeforeTakeover);
         if (mayRelease) {
             for (RangeRow &piece : handedOver(row)) {
                 piece.epoch = next;
--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -36,6 +36,16 @@
     double drift = 0.02;
 };
 
+/*! The safety rules, each of which a test may break to show that it is needed. */
+struct KeeperRules
+{
+    bool waitsBeforeTakeover = true;     //!< until the owner's authority and holds have ended
+    bool limitsHoldsByAuthority = true;  //!< no hold outlasts the proof of ownership
+    bool waitsForRelease = true;         //!< a range moves when its holder no longer reports it
+    bool raisesEpochAfterRestart = true; //!< another life never gets the tokens of a former one
+    bool keepsOwnRestartsApart = true;   //!< a new process waits for what the former one granted
+};
+
 /*! A range that the BackendServer holds, as it says itself. */
 struct HeldRange
 {
@@ -82,7 +92,8 @@
 {
 public:
     /*! \a self is how the table names this node; \a startedAt is when its process started. */
-    RangeKeeper(std::string self, Base::TimePoint startedAt, const KeeperTiming &timing = {});
+    RangeKeeper(std::string self, Base::TimePoint startedAt, const KeeperTiming &timing = {},
+                const KeeperRules &rules = {});
 
     // Commands
 
@@ -135,6 +146,7 @@
     std::string m_self;
     Base::TimePoint m_startedAt;
     KeeperTiming m_timing;
+    KeeperRules m_rules;
     std::optional<RangeTable> m_table;
     TableVersion m_version = 0;
     std::optional<Base::TimePoint> m_confirmedAt;
--- a/src/libs/keyrange/rangetable.cpp
+++ b/src/libs/keyrange/rangetable.cpp
@@ -134,6 +134,26 @@
     return *std::prev(after);
 }
 
+std::vector<Range> subtracted(const Range &range, const std::vector<Range> &others)
+{
+    std::vector<Range> rest{range};
+    for (const Range &other : others) {
+        std::vector<Range> next;
+        for (const Range &part : rest) {
+            if (!part.overlaps(other)) {
+                next.push_back(part);
+                continue;
+            }
+            if (part.first < other.first)
+                next.push_back({part.first, other.first - 1});
+            if (other.last < part.last)
+                next.push_back({other.last + 1, part.last});
+        }
+        rest = std::move(next);
+    }
+    return rest;
+}
+
 std::size_t isolate(std::vector<RangeRow> &rows, const Range &range)
 {
     const auto found = std::find_if(rows.begin(), rows.end(), [&range](const RangeRow &row) {
--- a/src/libs/keyrange/rangetable.h
+++ b/src/libs/keyrange/rangetable.h
@@ -30,6 +30,9 @@
     std::uint32_t size() const { return last - first + 1; }
 };
 
+/*! The parts of \a range that none of \a others contains. */
+std::vector<Range> subtracted(const Range &range, const std::vector<Range> &others);
+
 inline bool operator==(const Range &a, const Range &b)
 {
     return a.first == b.first && a.last == b.last;
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -86,13 +86,14 @@
     auto exchange = std::make_shared<Exchange>();
     exchange->request = std::move(request);
     exchange->done = std::move(done);
+    ++m_pending;
     budget(exchange->request.service).onRequest();
     if (exchange->request.caller)
         exchange->request.caller->onLeft([this, exchange] { onCallerLeft(exchange); });
     if (exchange->isDone)
         return;
-    exchange->deadlineTimer
-        = m_timers.add(exchange->request.deadline, [this, exchange] { onDeadline(exchange); });
+    exchange->deadlineTimer = m_timers.add(exchange->request.deadline - ResponseWay,
+                                           [this, exchange] { onDeadline(exchange); });
     attempt(exchange);
 }
 
@@ -333,6 +334,7 @@
 void RequestRelay::finish(const ExchangePtr &exchange, RelayResult result)
 {
     exchange->isDone = true;
+    --m_pending;
     m_timers.cancel(exchange->deadlineTimer);
     m_timers.cancel(exchange->pauseTimer);
     const Base::Duration latency = steadyNow() - exchange->request.received;
--- a/src/libs/relay/requestrelay.h
+++ b/src/libs/relay/requestrelay.h
@@ -75,7 +75,8 @@
 
     // Queries
 
-    std::size_t pendingCount() const { return m_exchanges.size(); }
+    /*! Requests without a response, also those that wait for another attempt. */
+    std::size_t pendingCount() const { return m_pending; }
 
 private:
     struct Exchange;
@@ -109,6 +110,7 @@
     std::unordered_map<std::uint64_t, ExchangePtr> m_exchanges; //!< by the stream of the attempt
     std::map<std::string, Retry::RatioBudget> m_budgets;        //!< by service
     std::uint64_t m_lastStream = 0;
+    std::size_t m_pending = 0;
 };
 
 } // namespace Medlar::Relay
--- /dev/null
+++ b/tests/auto/gate/tst_backendgate.cpp
@@ -0,0 +1,258 @@
+#include "gate/backendgate.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <queue>
+#include <random>
+
+namespace Medlar::Gate {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Base::TimePoint Start = Base::TimePoint{} + 1h;
+
+BackendCondition ready(std::uint32_t slots = 2)
+{
+    BackendCondition condition;
+    condition.isPresent = true;
+    condition.slots = slots;
+    return condition;
+}
+
+GateRequest request(unsigned priority, Base::Duration deadline, Base::TimePoint now = Start)
+{
+    return {priority, now + deadline / 4, now + deadline};
+}
+
+/*! A gate whose mean service time has settled at \a service. */
+BackendGate taughtGate(const BackendCondition &condition, Base::Duration service)
+{
+    BackendGate gate;
+    gate.setCondition(Start, condition);
+    for (int i = 0; i < 300; ++i) {
+        EXPECT_TRUE(gate.offer(Start, request(0, 1h)));
+        EXPECT_TRUE(gate.next(Start));
+        gate.onFinished(Start, service, true);
+    }
+    return gate;
+}
+
+/*! What became of a replayed load. */
+struct Replay
+{
+    std::map<unsigned, int> offered; //!< by priority
+    std::map<unsigned, int> inTime;
+    int served = 0;
+    int wasted = 0; //!< ran, and nobody waited any more
+    int refused = 0;
+    Base::Duration heldInVain{0}; //!< longest wait of a request that was declined after all
+};
+
+/*! Replays requests that arrive at random at \a ratePerSecond for ten seconds; a tenth of them is
+    urgent. \a isPlain uses an unbounded first-come queue in place of the gate's decisions. */
+Replay replayOverload(double ratePerSecond, bool isPlain)
+{
+    constexpr std::uint32_t Slots = 6;
+    constexpr Base::Duration Deadline = 1200ms;
+    std::mt19937_64 random(7);
+    std::exponential_distribution<double> gap(ratePerSecond);
+    std::exponential_distribution<double> work(1.0 / 0.06);
+    BackendGate gate = taughtGate(ready(Slots), 60ms);
+    struct Job
+    {
+        unsigned priority;
+        Base::TimePoint arrived;
+    };
+    std::map<Ticket, Job> waiting;
+    std::deque<Job> plainQueue;
+    std::multimap<Base::TimePoint, std::pair<Job, Base::Duration>> running;
+    Replay result;
+    Base::TimePoint now = Start;
+    Base::TimePoint nextArrival = Start;
+    const auto begin = [&](const Job &job) {
+        const auto length = std::chrono::duration_cast<Base::Duration>(
+            std::chrono::duration<double>(work(random)));
+        running.emplace(now + length, std::make_pair(job, length));
+    };
+    while (now < Start + 10s || !running.empty()) {
+        const bool isArrival = nextArrival < Start + 10s
+                               && (running.empty() || nextArrival <= running.begin()->first);
+        now = isArrival ? nextArrival : running.empty() ? Start + 10s : running.begin()->first;
+        if (isArrival) {
+            nextArrival += std::chrono::duration_cast<Base::Duration>(
+                std::chrono::duration<double>(gap(random)));
+            const Job job{random() % 10 == 0 ? 0U : 1U, now};
+            ++result.offered[job.priority];
+            if (isPlain) {
+                plainQueue.push_back(job);
+            } else if (const auto ticket
+                       = gate.offer(now, {job.priority, now + 300ms, now + Deadline})) {
+                waiting[*ticket] = job;
+            } else {
+                ++result.refused;
+            }
+        } else if (!running.empty()) {
+            const auto [job, length] = running.begin()->second;
+            running.erase(running.begin());
+            const Base::Duration latency = now - job.arrived;
+            result.inTime[job.priority] += latency <= 300ms ? 1 : 0;
+            result.served += latency <= Deadline ? 1 : 0;
+            result.wasted += latency > Deadline ? 1 : 0;
+            if (!isPlain)
+                gate.onFinished(now, length, true);
+        }
+        if (isPlain) {
+            while (running.size() < Slots && !plainQueue.empty()) {
+                begin(plainQueue.front());
+                plainQueue.pop_front();
+            }
+            continue;
+        }
+        while (const auto ticket = gate.next(now)) {
+            begin(waiting.at(*ticket));
+            waiting.erase(*ticket);
+        }
+        for (const auto &[ticket, decline] : gate.takeDeclined(now)) {
+            ++result.refused;
+            result.heldInVain = std::max(result.heldInVain, now - waiting.at(ticket).arrived);
+            waiting.erase(ticket);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST(BackendGate, nothingIsSentToABackendServerThatMustNotGetIt)
+{
+    BackendGate gate;
+    {
+        SCOPED_TRACE("before it has announced itself");
+        EXPECT_EQ(gate.offer(Start, request(0, 1s)).error().reason, DeclineReason::Absent);
+    }
+    {
+        SCOPED_TRACE("while it leaves, with those that wait declined at once");
+        gate.setCondition(Start, ready(1));
+        ASSERT_TRUE(gate.offer(Start, request(0, 1s)));
+        ASSERT_TRUE(gate.next(Start));
+        const auto waiting = gate.offer(Start, request(0, 1s));
+        ASSERT_TRUE(waiting);
+        BackendCondition draining = ready(1);
+        draining.isDraining = true;
+        gate.setCondition(Start, draining);
+        const auto declined = gate.takeDeclined(Start);
+        ASSERT_EQ(declined.size(), 1U);
+        EXPECT_EQ(declined[0].first, *waiting);
+        EXPECT_EQ(declined[0].second.reason, DeclineReason::Draining);
+        EXPECT_EQ(gate.offer(Start, request(0, 1s)).error().reason, DeclineReason::Draining);
+    }
+    {
+        SCOPED_TRACE("while its zone is out of service");
+        BackendCondition out = ready(1);
+        out.isEvacuated = true;
+        gate.setCondition(Start, out);
+        EXPECT_EQ(gate.offer(Start, request(0, 1s)).error().reason, DeclineReason::Evacuated);
+    }
+}
+
+TEST(BackendGate, aColdBackendServerGetsABoundedNumberInAnySecond)
+{
+    BackendGate gate;
+    BackendCondition cold = ready(100);
+    cold.isCold = true;
+    cold.coldRequestsPerSecond = 5.0;
+    gate.setCondition(Start, cold);
+    std::deque<Base::TimePoint> starts;
+    for (Base::TimePoint now = Start; now < Start + 5s; now += 10ms) {
+        static_cast<void>(gate.offer(now, request(0, 10s, now)));
+        while (gate.next(now)) {
+            starts.push_back(now);
+            gate.onFinished(now, 10ms, true);
+        }
+        while (starts.front() + 1s <= now)
+            starts.pop_front();
+        ASSERT_LE(starts.size(), 5U);
+    }
+    SCOPED_TRACE("the turn comes without another event");
+    EXPECT_TRUE(gate.nextTurn(Start + 5s));
+}
+
+TEST(BackendGate, requestsThatCannotBeServedInTimeAreDeclinedAtOnce)
+{
+    BackendGate gate = taughtGate(ready(2), 100ms);
+    int accepted = 0;
+    std::optional<Decline> decline;
+    while (!decline) {
+        const auto ticket = gate.offer(Start, request(0, 1s));
+        if (ticket)
+            ++accepted;
+        else
+            decline = ticket.error();
+        while (gate.next(Start)) {
+        }
+    }
+    EXPECT_EQ(decline->reason, DeclineReason::Overloaded);
+    EXPECT_NEAR(accepted, 20, 3) << "two slots of 100 ms serve 20 in a second";
+    EXPECT_GT(decline->retryAfter, 500ms);
+}
+
+TEST(BackendGate, urgentAndPromisingRequestsGoFirst)
+{
+    BackendGate gate = taughtGate(ready(1), 100ms);
+    ASSERT_TRUE(gate.offer(Start, request(1, 2s)));
+    ASSERT_TRUE(gate.next(Start));
+    const Ticket late = *gate.offer(Start, {1, Start - 1ms, Start + 1s});
+    const Ticket inTime = *gate.offer(Start, {1, Start + 900ms, Start + 2s});
+    const Ticket urgent = *gate.offer(Start, {0, Start + 900ms, Start + 2s});
+    std::vector<Ticket> order;
+    for (int i = 0; i < 3; ++i) {
+        gate.onFinished(Start, 100ms, true);
+        order.push_back(*gate.next(Start));
+    }
+    EXPECT_EQ(order, (std::vector<Ticket>{urgent, inTime, late}));
+}
+
+TEST(BackendGate, whatTheCallerGaveUpIsNeverStarted)
+{
+    BackendGate gate;
+    gate.setCondition(Start, ready(1));
+    const Ticket first = *gate.offer(Start, request(0, 1s));
+    EXPECT_TRUE(gate.cancel(first));
+    EXPECT_FALSE(gate.next(Start));
+    EXPECT_FALSE(gate.cancel(first));
+}
+
+TEST(BackendGate, lessIsSentForAMomentAfterTheBackendServerWasFull)
+{
+    BackendGate gate;
+    gate.setCondition(Start, ready(4));
+    for (int i = 0; i < 8; ++i)
+        ASSERT_TRUE(gate.offer(Start, request(0, 10s)));
+    while (gate.next(Start)) {
+    }
+    EXPECT_EQ(gate.running(), 4U);
+    gate.onFinished(Start, 1ms, false);
+    gate.onFinished(Start, 1ms, false);
+    gate.onShed(Start);
+    EXPECT_FALSE(gate.next(Start + 1ms));
+    EXPECT_TRUE(gate.next(Start + 1s));
+}
+
+// Load pattern: three times the capacity of six slots for ten seconds. A plain unbounded queue
+// serves everybody too late; the gate keeps all slots at work that is still wanted.
+TEST(BackendGate, overloadDoesNotMakeEveryoneLate)
+{
+    const Replay plain = replayOverload(300, true);
+    const Replay gate = replayOverload(300, false);
+    EXPECT_GT(gate.served, plain.served * 3);
+    EXPECT_LT(gate.wasted, gate.served / 100) << "only runs that take far longer than usual";
+    EXPECT_GT(plain.wasted, 1000);
+    EXPECT_GT(gate.inTime.at(0), gate.offered.at(0) * 9 / 10) << "urgent ones are hardly touched";
+    EXPECT_LT(gate.heldInVain, 1200ms);
+    RecordProperty("gate_served", gate.served);
+    RecordProperty("plain_served", plain.served);
+}
+
+} // namespace Medlar::Gate
--- /dev/null
+++ b/tests/auto/keyrange/tst_rangekeeper.cpp
@@ -0,0 +1,229 @@
+#include "keyrange/rangekeeper.h"
+
+#include <gtest/gtest.h>
+
+namespace Medlar::KeyRange {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Base::TimePoint Start = Base::TimePoint{} + 1h;
+
+RangeTable table(const std::vector<RangeRow> &rows, Epoch lastEpoch)
+{
+    auto result = RangeTable::create(rows, lastEpoch);
+    EXPECT_TRUE(result) << result.error().detail;
+    return *result;
+}
+
+/*! Two halves, the lower one of node a and the upper one of node b. */
+RangeTable halves(const std::string &successorOfLower = {})
+{
+    return table({{{0, 32767}, "a", 1, successorOfLower, {}}, {{32768, LastKey}, "b", 1, {}, {}}},
+                 1);
+}
+
+HeldReport report(std::uint64_t sequence, std::vector<HeldRange> held = {},
+                  std::vector<FreedRange> freed = {})
+{
+    return {"backend-1", 100, sequence, std::move(held), std::move(freed)};
+}
+
+/*! A keeper of node a that took part since before the table was made. */
+class RangeKeeperTest : public ::testing::Test
+{
+protected:
+    RangeKeeperTest() : m_keeper("a", Start)
+    {
+        // The first table that is seen counts as inherited; its epochs are never granted again.
+        m_keeper.onTable(Start, 1, table({{{0, LastKey}, "b", 1, {}, {}}}, 1));
+        m_keeper.onTable(Start, 2, taken());
+        m_keeper.onConfirmed(Start, 2);
+    }
+
+    static RangeTable taken()
+    {
+        return table({{{0, 32767}, "a", 2, {}, "token"}, {{32768, LastKey}, "b", 1, {}, {}}}, 2);
+    }
+    static RangeTable moving()
+    {
+        return table({{{0, 99}, "a", 2, "b", {}},
+                      {{100, 32767}, "a", 2, {}, {}},
+                      {{32768, LastKey}, "b", 1, {}, {}}},
+                     2);
+    }
+
+    RangeKeeper m_keeper;
+};
+
+} // namespace
+
+TEST_F(RangeKeeperTest, aHoldIsNotGrantedBeyondTheProofOfOwnership)
+{
+    {
+        SCOPED_TRACE(
+            "a fresh proof allows a whole hold, with the handover token of the last owner");
+        const auto grant = m_keeper.onHeartbeat(Start + 1s, report(1));
+        ASSERT_TRUE(grant);
+        EXPECT_EQ(grant->hold, 4s);
+        ASSERT_EQ(grant->ranges.size(), 1U);
+        EXPECT_EQ(grant->ranges[0].handover, "token");
+        EXPECT_TRUE(m_keeper.isHeld(Start + 1s, 5));
+        EXPECT_FALSE(m_keeper.isHeld(Start + 1s, 40000));
+    }
+    {
+        SCOPED_TRACE("an older one allows less");
+        const auto grant = m_keeper.onHeartbeat(Start + 8s, report(2));
+        ASSERT_TRUE(grant);
+        EXPECT_LT(grant->hold, 1750ms);
+        EXPECT_GT(grant->hold, 1500ms);
+    }
+    {
+        SCOPED_TRACE(
+            "one that is too old allows none, and nothing is held when the last has ended");
+        EXPECT_FALSE(m_keeper.onHeartbeat(Start + 10s, report(3)));
+        EXPECT_FALSE(m_keeper.isHeld(Start + 10s, 5));
+    }
+}
+
+TEST_F(RangeKeeperTest, aMovingRangeIsHandedOverOnlyWhenItsHolderNoLongerReportsIt)
+{
+    const auto first = m_keeper.onHeartbeat(Start + 1s, report(1));
+    const FencingToken token = first->ranges.at(0).token;
+    m_keeper.onTable(Start + 2s, 3, moving());
+
+    const auto second = m_keeper.onHeartbeat(Start + 2s, report(2, {{{0, 32767}, token}}));
+    ASSERT_EQ(second->ranges.size(), 1U);
+    EXPECT_EQ(second->ranges[0].range, (Range{100, 32767}));
+    EXPECT_FALSE(m_keeper.wantedTable(Start + 2s)) << "still held";
+
+    m_keeper.onHeartbeat(Start + 2100ms, report(3, {{{0, 32767}, token}}));
+    EXPECT_FALSE(m_keeper.wantedTable(Start + 2100ms)) << "still at work";
+
+    m_keeper.onHeartbeat(Start + 2200ms,
+                         report(4, {{{100, 32767}, token}}, {{{0, 99}, "handover"}}));
+    const auto wanted = m_keeper.wantedTable(Start + 2200ms);
+    ASSERT_TRUE(wanted);
+    EXPECT_EQ(wanted->row(0).owner, "b");
+    EXPECT_EQ(wanted->row(0).handover, "handover");
+    EXPECT_EQ(wanted->row(0).epoch, 3U) << "tokens of the new owner are above all former ones";
+    EXPECT_EQ(wanted->row(100).owner, "a");
+}
+
+TEST_F(RangeKeeperTest, aSilentBackendServerKeepsItsRangesUntilItsHoldHasEnded)
+{
+    m_keeper.onHeartbeat(Start + 1s, report(1));
+    m_keeper.onTable(Start + 2s, 3, moving());
+    EXPECT_FALSE(m_keeper.wantedTable(Start + 5s));
+    EXPECT_TRUE(m_keeper.wantedTable(Start + 6s));
+}
+
+TEST_F(RangeKeeperTest, anotherLifeGetsHigherTokens)
+{
+    const auto first = m_keeper.onHeartbeat(Start + 1s, report(9));
+    HeldReport reborn = report(1);
+    reborn.life = 200;
+    const auto second = m_keeper.onHeartbeat(Start + 2s, reborn);
+    ASSERT_TRUE(second);
+    ASSERT_EQ(second->ranges.size(), 1U);
+    EXPECT_GT(second->ranges[0].token, first->ranges[0].token);
+}
+
+TEST_F(RangeKeeperTest, anotherBackendServerWaitsForTheHoldsOfTheFormerOne)
+{
+    m_keeper.onHeartbeat(Start + 1s, report(1));
+    HeldReport other = report(1);
+    other.backend = "backend-2";
+    EXPECT_TRUE(m_keeper.onHeartbeat(Start + 2s, other)->ranges.empty());
+    other.sequence = 2;
+    EXPECT_EQ(m_keeper.onHeartbeat(Start + 6s, other)->ranges.size(), 1U);
+}
+
+TEST(RangeKeeper, aNewProcessOfTheNodeContinuesWhatItsBackendServerHolds)
+{
+    constexpr FencingToken Token = 1024 + 3;
+    RangeKeeper keeper("a", Start);
+    keeper.onTable(Start, 5, halves());
+    keeper.onConfirmed(Start, 5);
+    {
+        SCOPED_TRACE("the same life keeps its ranges and tokens");
+        const auto grant = keeper.onHeartbeat(Start + 100ms, report(7, {{{0, 32767}, Token}}));
+        ASSERT_TRUE(grant);
+        ASSERT_EQ(grant->ranges.size(), 1U);
+        EXPECT_EQ(grant->ranges[0].token, Token);
+        EXPECT_FALSE(keeper.wantedTable(Start + 100ms));
+    }
+    {
+        SCOPED_TRACE("one that holds nothing gets its ranges under a new epoch");
+        RangeKeeper other("a", Start);
+        other.onTable(Start, 5, halves());
+        other.onConfirmed(Start, 5);
+        EXPECT_TRUE(other.onHeartbeat(Start + 100ms, report(7))->ranges.empty());
+        const auto wanted = other.wantedTable(Start + 100ms);
+        ASSERT_TRUE(wanted);
+        EXPECT_EQ(wanted->row(0).epoch, 2U);
+        other.onTable(Start + 200ms, 6, *wanted);
+        EXPECT_EQ(other.onHeartbeat(Start + 300ms, report(8))->ranges.size(), 1U);
+    }
+}
+
+TEST(RangeKeeper, aSuccessorTakesOverOnlyAfterTheAuthorityOfTheOwner)
+{
+    RangeKeeper successor("b", Start - 1min);
+    successor.onTable(Start, 5, halves("b"));
+    successor.onConfirmed(Start, 5);
+    EXPECT_TRUE(successor.expectsRanges());
+    EXPECT_FALSE(successor.wantedTable(Start + 10s));
+    const auto wanted = successor.wantedTable(Start + 10500ms);
+    ASSERT_TRUE(wanted);
+    EXPECT_EQ(wanted->row(0).owner, "b");
+    EXPECT_EQ(wanted->row(0).epoch, 2U);
+
+    SCOPED_TRACE("the wait begins anew when the plan changed in between");
+    successor.onTable(Start + 5s, 6, halves());
+    successor.onTable(Start + 6s, 7, halves("b"));
+    EXPECT_FALSE(successor.wantedTable(Start + 11s));
+}
+
+TEST(RangeKeeper, aProcessThatKnowsNoBackendServerWaitsForWhatTheFormerProcessGranted)
+{
+    RangeKeeper keeper("a", Start);
+    keeper.onTable(Start, 5, halves("b"));
+    keeper.onConfirmed(Start, 5);
+    EXPECT_FALSE(keeper.wantedTable(Start + 4s));
+    EXPECT_TRUE(keeper.wantedTable(Start + 5s));
+}
+
+TEST(RangeTable, tablesThatDoNotCoverAllKeysOnceAreRefused)
+{
+    EXPECT_FALSE(RangeTable::create({}, 0));
+    EXPECT_FALSE(RangeTable::create({{{0, 10}, "a", 1, {}, {}}}, 1));
+    EXPECT_FALSE(
+        RangeTable::create({{{0, 10}, "a", 1, {}, {}}, {{12, LastKey}, "a", 1, {}, {}}}, 1));
+    EXPECT_FALSE(RangeTable::create({{{0, LastKey}, "", 1, {}, {}}}, 1));
+    EXPECT_FALSE(RangeTable::create({{{0, LastKey}, "a", 2, {}, {}}}, 1));
+    for (const char *text :
+         {"", "[]", "{}", R"({"epoch":1,"rows":[[0,1]]})",
+          R"({"epoch":1,"rows":[[0,65536,"a",1]]})", R"({"epoch":-1,"rows":[[0,65535,"a",1]]})",
+          R"({"epoch":1,"rows":[[0,65535,"a",1,5,"h"]]})"})
+        EXPECT_FALSE(RangeTable::parse(text)) << text;
+}
+
+TEST(RangeTable, aPeerThatAppliesADeltaGetsTheSameTable)
+{
+    const RangeTable former = halves();
+    std::vector<RangeRow> rows = former.rows();
+    rows[isolate(rows, {100, 200})].successor = "b";
+    rows[isolate(rows, {300, 300})] = {{300, 300}, "b", 2, {}, "h"};
+    const RangeTable next = table(rows, 2);
+    const auto patched = former.patched(next.deltaFrom(former));
+    ASSERT_TRUE(patched) << patched.error().detail;
+    EXPECT_EQ(patched->toJson(), next.toJson());
+    EXPECT_LT(next.deltaFrom(former).size(), next.toJson().size());
+
+    SCOPED_TRACE("one that has another table notices");
+    EXPECT_FALSE(former.patched(R"({"epoch":2,"rows":[[0,40000,"a",2]]})"));
+    EXPECT_FALSE(former.patched("?"));
+}
+
+} // namespace Medlar::KeyRange
--- /dev/null
+++ b/tests/auto/keyrange/tst_rangeplanner.cpp
@@ -0,0 +1,234 @@
+#include "keyrange/rangeloadmeter.h"
+#include "keyrange/rangeplanner.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <random>
+
+namespace Medlar::KeyRange {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Base::TimePoint Start = Base::TimePoint{} + 1h;
+constexpr double Slots = 6.0;
+
+RangeNode node(const std::string &id, double slowness = 1.0)
+{
+    RangeNode result;
+    result.id = id;
+    result.takesRanges = true;
+    result.slots = Slots;
+    result.slowness = slowness;
+    return result;
+}
+
+std::vector<RangeNode> nodes(std::size_t count)
+{
+    std::vector<RangeNode> result;
+    for (std::size_t i = 0; i < count; ++i)
+        result.push_back(node("n" + std::to_string(i)));
+    return result;
+}
+
+/*! Owners let go at once whatever the plan wants to move. */
+RangeTable settled(const RangeTable &plan)
+{
+    std::vector<RangeRow> rows = plan.rows();
+    for (RangeRow &row : rows) {
+        if (row.successor.empty())
+            continue;
+        row.owner = row.successor;
+        row.successor.clear();
+        row.epoch = plan.lastEpoch() + 1;
+    }
+    return *RangeTable::create(rows, plan.lastEpoch() + 1);
+}
+
+/*! Replays requests with one hot stretch, half of them for two hundred neighbouring keys, and then
+    one hot key; returns the highest demand on a node, in busy slots, by second. */
+std::vector<double> replayHotStretch(bool isPlanned, std::uint32_t *movedKeys)
+{
+    constexpr double RequestsPerSecond = 250;
+    constexpr Base::Duration Work = 75ms;
+    std::mt19937_64 random(3);
+    RangePlanner planner;
+    RangeTable table = *planner.firstTable(nodes(6));
+    std::map<std::string, RangeLoadMeter> meters;
+    std::vector<double> highest;
+    Base::TimePoint now = Start;
+    for (int tick = 0; tick < 24; ++tick) {
+        now += 500ms;
+        std::map<std::string, double> demand;
+        for (int i = 0; i < RequestsPerSecond / 2; ++i) {
+            const bool isHot = random() % 2 == 0;
+            const auto key = static_cast<Key>(isHot ? 30000 + random() % 200 : random() % 65536);
+            const std::string &owner = table.row(key).owner;
+            meters[owner].add(key, Work);
+            demand[owner] += 2 * std::chrono::duration<double>(Work).count();
+        }
+        double most = 0.0;
+        for (const auto &[id, load] : demand)
+            most = std::max(most, load);
+        highest.push_back(most);
+        std::vector<RangeLoad> loads;
+        for (auto &[id, meter] : meters) {
+            std::vector<RangeRow> rows;
+            for (const RangeRow &row : table.rows()) {
+                if (row.owner == id)
+                    rows.push_back(row);
+            }
+            const auto report = meter.report(now, rows, 0.08 * Slots);
+            loads.insert(loads.end(), report.begin(), report.end());
+        }
+        if (!isPlanned)
+            continue;
+        if (const auto plan = planner.plan(now, table, nodes(6), loads)) {
+            for (const RangeRow &row : plan->rows())
+                *movedKeys += row.successor.empty() ? 0 : row.range.size();
+            table = settled(*plan);
+        }
+    }
+    return highest;
+}
+
+} // namespace
+
+TEST(RangePlanner, theFirstTableGivesEveryNodeItsShare)
+{
+    const RangePlanner planner;
+    EXPECT_FALSE(planner.firstTable({}));
+    auto all = nodes(3);
+    all[1].takesRanges = false;
+    const auto table = planner.firstTable(all);
+    ASSERT_TRUE(table);
+    std::map<std::string, std::uint32_t> keys;
+    for (const RangeRow &row : table->rows())
+        keys[row.owner] += row.range.size();
+    EXPECT_EQ(keys.count("n1"), 0U);
+    EXPECT_NEAR(keys["n0"], keys["n2"], 10);
+}
+
+TEST(RangePlanner, aLeavingNodeIsEmptiedAndALostOneReplaced)
+{
+    RangePlanner planner;
+    const RangeTable table = *planner.firstTable(nodes(4));
+    auto all = nodes(4);
+    all[2].takesRanges = false;
+    {
+        SCOPED_TRACE("a node that is away for a moment keeps its ranges");
+        EXPECT_FALSE(planner.plan(Start, table, all, {}));
+    }
+    all[2].mustGiveRanges = true;
+    const auto plan = planner.plan(Start, table, all, {});
+    ASSERT_TRUE(plan);
+    std::map<std::string, int> successors;
+    for (const RangeRow &row : plan->rows()) {
+        if (row.owner == "n2")
+            ++successors[row.successor];
+        else
+            EXPECT_TRUE(row.successor.empty()) << "others stay where they are";
+    }
+    EXPECT_EQ(successors.size(), 3U) << "spread over all that are left";
+    {
+        SCOPED_TRACE("a successor that is lost as well is replaced");
+        all[3].takesRanges = false;
+        const auto next = planner.plan(Start, *plan, all, {});
+        ASSERT_TRUE(next);
+        for (const RangeRow &row : next->rows())
+            EXPECT_NE(row.successor, "n3");
+    }
+    {
+        SCOPED_TRACE("a node that returns keeps what has not left it");
+        const auto back = planner.plan(Start, *plan, nodes(4), {});
+        EXPECT_FALSE(back) << "moves under way go on";
+    }
+}
+
+TEST(RangePlanner, aNodeThatJoinsGetsWorkWithinTwoRounds)
+{
+    RangePlanner planner;
+    const RangeTable table = *planner.firstTable(nodes(3));
+    std::vector<RangeLoad> loads;
+    for (const RangeRow &row : table.rows())
+        loads.push_back({row.range, 0.45});
+    const auto plan = planner.plan(Start, table, nodes(4), loads);
+    ASSERT_TRUE(plan);
+    EXPECT_TRUE(std::any_of(plan->rows().begin(), plan->rows().end(),
+                            [](const RangeRow &row) { return row.successor == "n3"; }));
+}
+
+TEST(RangePlanner, aKeyThatIsTooMuchForItsNodeGoesToAFasterOne)
+{
+    RangePlanner planner;
+    std::vector<RangeNode> all{node("slow", 1.6), node("fast", 0.7)};
+    std::vector<RangeRow> rows{{{0, 32767}, "slow", 1, {}, {}},
+                               {{32768, LastKey}, "fast", 1, {}, {}}};
+    const RangeTable table = *RangeTable::create(rows, 1);
+    const std::vector<RangeLoad> loads{
+        {{0, 99}, 0.2}, {{100, 100}, 8.0}, {{101, 32767}, 0.5}, {{32768, LastKey}, 0.5}};
+    const auto plan = planner.plan(Start, table, all, loads);
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(plan->row(100).successor, "fast");
+    EXPECT_EQ(plan->row(100).range.size(), 1U) << "its neighbours have no part in it";
+}
+
+TEST(RangePlanner, aMoveIsNotFollowedByOthersWhileReportsLag)
+{
+    RangePlanner planner;
+    const RangeTable table = *planner.firstTable(nodes(2));
+    std::vector<RangeLoad> loads;
+    for (const RangeRow &row : table.rows())
+        loads.push_back({row.range, row.owner == "n0" ? 0.7 : 0.1});
+    const auto first = planner.plan(Start, table, nodes(2), loads);
+    ASSERT_TRUE(first);
+    const RangeTable moved = settled(*first);
+    SCOPED_TRACE("half a second later neither owner shows the load of what moved");
+    std::vector<RangeLoad> stale;
+    for (const RangeRow &row : moved.rows())
+        stale.push_back({row.range, table.row(row.range.first).owner != row.owner ? 0.0
+                                    : row.owner == "n0"                           ? 0.7
+                                                                                  : 0.1});
+    EXPECT_FALSE(planner.plan(Start + 500ms, moved, nodes(2), stale));
+}
+
+// Load pattern: half of all requests go to two hundred neighbouring keys.
+TEST(RangePlanner, aHotStretchIsSpreadWithinSecondsAndFewKeysMove)
+{
+    std::uint32_t movedKeys = 0;
+    const std::vector<double> planned = replayHotStretch(true, &movedKeys);
+    const std::vector<double> fixed = replayHotStretch(false, nullptr);
+    const double plannedMean
+        = std::accumulate(planned.begin() + 8, planned.end(), 0.0) / (planned.size() - 8);
+    const double fixedMean
+        = std::accumulate(fixed.begin() + 8, fixed.end(), 0.0) / (fixed.size() - 8);
+    EXPECT_GT(fixedMean, Slots * 1.5) << "more than its slots can do";
+    EXPECT_LT(plannedMean, Slots * 0.85) << "after four seconds no node is full";
+    EXPECT_LT(movedKeys, 65536U / 4);
+    RecordProperty("moved_keys", static_cast<int>(movedKeys));
+}
+
+TEST(RangeLoadMeter, rangesAreDividedWhereTheLoadIs)
+{
+    RangeLoadMeter meter;
+    const std::vector<RangeRow> rows{{{0, LastKey}, "n0", 1, {}, {}}};
+    static_cast<void>(meter.report(Start, rows, 0.5));
+    for (int i = 0; i < 40; ++i)
+        meter.add(1000, 100ms);
+    meter.add(50000, 100ms);
+    const auto report = meter.report(Start + 1s, rows, 0.5);
+    ASSERT_GE(report.size(), 3U);
+    const auto hot = std::find_if(report.begin(), report.end(),
+                                  [](const RangeLoad &load) { return load.range.contains(1000); });
+    EXPECT_EQ(hot->range, (Range{1000, 1000}));
+    EXPECT_NEAR(hot->busySlots, 2.0, 0.1) << "half of the last window's four busy slots";
+    double sum = 0.0;
+    for (const RangeLoad &load : report)
+        sum += load.busySlots;
+    EXPECT_NEAR(sum, 2.05, 0.1) << "no load is lost between pieces";
+}
+
+} // namespace Medlar::KeyRange
--- a/tests/auto/messages/tst_messages.cpp
+++ b/tests/auto/messages/tst_messages.cpp
@@ -79,14 +79,25 @@
             bytes(m.method),
             bytes(m.target),
             treeOf(m.headers),
-            bytes(m.body)};
+            bytes(m.body),
+            m.priority,
+            m.targetLeft.count()};
 }
 
 nlohmann::json treeOf(const ForwardResponse &m)
 {
-    return {17,           m.streamId,     bytes(m.requestId), static_cast<int>(m.outcome),
-            m.status,     bytes(m.error), m.newerEpoch,       treeOf(m.headers),
-            bytes(m.body)};
+    return {17,
+            m.streamId,
+            bytes(m.requestId),
+            static_cast<int>(m.outcome),
+            m.status,
+            bytes(m.error),
+            m.newerEpoch,
+            treeOf(m.headers),
+            bytes(m.body),
+            m.running,
+            m.waiting,
+            m.retryAfter.count()};
 }
 
 bool isHeaders(const nlohmann::json &value)
@@ -98,7 +109,8 @@
 }
 
 /*! Whether a field has the type that its letter names: Unsigned, Word of 32 bit, Number of 16 bit,
- * Integer, Enumeration up to 2, Flag, Bytes, Optional bytes, Headers, inStance. */
+ * Integer, Enumeration up to 2, Kind up to 3, staTe up to 4, Flag, Bytes, Optional bytes, Headers,
+ * inStance. */
 bool hasType(const nlohmann::json &value, char type)
 {
     switch (type) {
@@ -120,6 +132,10 @@
         return value.is_number_unsigned() && value <= 0xffffffff;
     case 'E':
         return value.is_number_unsigned() && value <= 2;
+    case 'K':
+        return value.is_number_unsigned() && value <= 3;
+    case 'T':
+        return value.is_number_unsigned() && value <= 4;
     default:
         return value.is_number_unsigned() && value <= 0xffff;
     }
@@ -134,9 +150,12 @@
                                                        {6, "USWF"},
                                                        {7, "USEF"},
                                                        {13, "UUU"},
-                                                       {16, "UUBBBBOUUUIEFBBHB"},
-                                                       {17, "UUBENBUHB"},
-                                                       {18, "UUB"}};
+                                                       {16, "UUBBBBOUUUIEFBBHBWI"},
+                                                       {17, "UUBENBUHBWWI"},
+                                                       {18, "UUB"},
+                                                       {21, "UBBBBTWUUUBF"},
+                                                       {22, "UWWI"},
+                                                       {23, "UUKBBU"}};
     if (!tree.is_array() || tree.empty() || !tree[0].is_number_unsigned())
         return false;
     const auto found = TypesOf.find(tree[0].get<int>());
--- /dev/null
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -0,0 +1,117 @@
+#include "relay/placechooser.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace Medlar::Relay {
+namespace {
+
+using namespace std::chrono_literals;
+using Messages::BackendState;
+
+const Base::TimePoint Start = Base::TimePoint{} + 1h;
+
+Messages::NodeStatus status(const std::string &service, BackendState state = BackendState::Ready)
+{
+    Messages::NodeStatus result;
+    result.service = service;
+    result.backend = "backend";
+    result.state = state;
+    result.slots = 6;
+    return result;
+}
+
+class PlaceChooserTest : public ::testing::Test
+{
+protected:
+    PlaceChooserTest()
+        : m_fleet("self", {"10.0.0.1", 1, "north", "north-a"}), m_chooser("north", "north-a", 1)
+    {
+        m_fleet.onStatus(Start, "self", status("other"));
+        add("near", "north", "north-a");
+        add("next", "north", "north-b");
+        add("far", "south", "south-a");
+    }
+
+    void add(const std::string &name, const std::string &region, const std::string &zone)
+    {
+        m_fleet.setRecorded(name, {"10.0.0.2", 1, region, zone});
+        m_fleet.setLinked(Start, name, true);
+        m_fleet.onStatus(Start, name, status("catalog"));
+        m_fleet.onLoad(Start, name, {0, 0, 50ms});
+    }
+
+    /*! Choices of a hundred requests. */
+    std::map<std::string, int> choices(const PlaceWish &wish, Base::TimePoint now = Start)
+    {
+        std::map<std::string, int> result;
+        for (int i = 0; i < 100; ++i)
+            ++result[m_chooser.choose(now, m_fleet, wish).value_or("")];
+        return result;
+    }
+
+    FleetView m_fleet;
+    PlaceChooser m_chooser;
+    PlaceWish m_wish{"catalog", {}, {}, 300ms};
+};
+
+} // namespace
+
+TEST_F(PlaceChooserTest, theCallersRegionServesUntilItIsFull)
+{
+    EXPECT_EQ(choices(m_wish).count("far"), 0U);
+    for (const char *name : {"near", "next"})
+        m_fleet.onLoad(Start, name, {6, 30, 50ms});
+    EXPECT_EQ(choices(m_wish)["far"], 100) << "the way costs less than the wait";
+}
+
+TEST_F(PlaceChooserTest, homeRegionsBindAlsoWhenTheyAreFull)
+{
+    m_fleet.onLoad(Start, "far", {6, 60, 50ms});
+    m_wish.allowedRegions = {"south"};
+    EXPECT_EQ(choices(m_wish)["far"], 100);
+    m_wish.allowedRegions = {"west"};
+    EXPECT_EQ(choices(m_wish)[""], 100);
+}
+
+TEST_F(PlaceChooserTest, aSlowOrFailingBackendServerIsSpared)
+{
+    {
+        SCOPED_TRACE("slow");
+        m_fleet.onLoad(Start, "near", {0, 0, 500ms});
+        EXPECT_EQ(choices(m_wish)["near"], 0);
+        m_fleet.onLoad(Start, "near", {0, 0, 50ms});
+    }
+    {
+        SCOPED_TRACE("failing, and tried again after a while");
+        m_fleet.onSent("near");
+        m_fleet.onEnded(Start, "near", 5ms, true);
+        EXPECT_EQ(choices(m_wish)["near"], 0);
+        for (int i = 0; i < 60; ++i)
+            m_fleet.onEnded(Start, "near", 5ms, false);
+        EXPECT_GT(choices(m_wish, Start + 5s)["near"], 0);
+    }
+}
+
+TEST_F(PlaceChooserTest, nothingIsSentWhereItWouldBeDeclined)
+{
+    m_fleet.onStatus(Start, "near", status("catalog", BackendState::Draining));
+    m_fleet.onStatus(Start, "next", status("catalog", BackendState::Evacuated));
+    EXPECT_EQ(choices(m_wish)["far"], 100);
+    m_fleet.setLinked(Start, "far", false);
+    EXPECT_EQ(choices(m_wish)[""], 100);
+    m_fleet.setLinked(Start, "far", true);
+    m_fleet.onStatus(Start, "far", status("other"));
+    EXPECT_EQ(choices(m_wish)[""], 100) << "another service has the address now";
+}
+
+TEST_F(PlaceChooserTest, equalPlacesShareTheRequests)
+{
+    m_fleet.onLoad(Start, "next", {0, 0, 50ms});
+    const auto shares = choices(m_wish);
+    EXPECT_GT(shares.at("near"), 20);
+    EXPECT_GT(shares.at("next"), 20);
+}
+
+} // namespace Medlar::Relay
--- /dev/null
+++ b/tests/auto/relay/tst_relayedstore.cpp
@@ -0,0 +1,160 @@
+#include "relay/relayedstore.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace Medlar::Relay {
+namespace {
+
+using Messages::StoreCall;
+using Messages::StoreReply;
+using Store::StoredObject;
+using Store::StoreErrorCode;
+
+class NullLog : public Base::LogSink
+{
+public:
+    void write(const Base::LogLine & /*line*/) override {}
+};
+
+/*! A store with one object that turns callers away on demand. */
+class FakeStore : public Store::ObjectStore
+{
+public:
+    std::optional<StoreErrorCode> error;
+    std::string value = "first";
+    Store::Version version = 5;
+    int calls = 0;
+
+    void get(const std::string &key, Store::Callback<StoredObject> callback) override
+    {
+        ++calls;
+        if (error)
+            callback(tl::unexpected(Store::StoreError{*error, "fake", 0}));
+        else
+            callback(StoredObject{key, value, version, {}});
+    }
+    void list(const std::string &prefix,
+              Store::Callback<std::vector<StoredObject>> callback) override
+    {
+        ++calls;
+        if (error)
+            callback(tl::unexpected(Store::StoreError{*error, "fake", 0}));
+        else
+            callback(std::vector<StoredObject>{{prefix + "a", value, version, {}}});
+    }
+    void put(const std::string & /*key*/, const std::string &next, Store::Version expected,
+             Store::Callback<Store::Version> callback) override
+    {
+        ++calls;
+        if (error) {
+            callback(tl::unexpected(Store::StoreError{*error, "fake", 0}));
+        } else if (expected != version) {
+            callback(tl::unexpected(Store::StoreError{StoreErrorCode::Conflict, "fake", version}));
+        } else {
+            value = next;
+            callback(++version);
+        }
+    }
+    void remove(const std::string &key, Store::Version expected,
+                Store::Callback<Store::Version> callback) override
+    {
+        put(key, {}, expected, std::move(callback));
+    }
+    void watch(const std::string & /*prefix*/, Store::Version /*after*/,
+               std::chrono::milliseconds /*timeout*/,
+               Store::Callback<Store::WatchResult> callback) override
+    {
+        callback(tl::unexpected(Store::StoreError{StoreErrorCode::Unavailable, "fake", 0}));
+    }
+};
+
+class RelayedStoreTest : public ::testing::Test
+{
+protected:
+    RelayedStoreTest()
+        : m_store(
+            m_context, m_own,
+            [this](const StoreCall &call) {
+                if (!m_hasPeer)
+                    return false;
+                RelayedStore::serve(m_peers, call,
+                                    [this](const StoreReply &reply) { m_store.onReply(reply); });
+                return true;
+            },
+            m_log)
+    {}
+
+    std::string read()
+    {
+        std::string result = "none";
+        m_store.get("kind/a", [&result](const Store::Result<StoredObject> &object) {
+            result = object ? object->value : "error: " + object.error().detail;
+        });
+        m_context.run_for(std::chrono::milliseconds(20));
+        m_context.restart();
+        return result;
+    }
+
+    boost::asio::io_context m_context;
+    NullLog m_log;
+    FakeStore m_own;   //!< the store as it treats this daemon
+    FakeStore m_peers; //!< the store as it treats the peer
+    bool m_hasPeer = true;
+    RelayedStore m_store;
+};
+
+} // namespace
+
+TEST_F(RelayedStoreTest, aDaemonThatIsTurnedAwayReachesTheStoreThroughAPeer)
+{
+    m_peers.value = "through peer";
+    EXPECT_EQ(read(), "first");
+    m_own.error = StoreErrorCode::Unavailable;
+    EXPECT_EQ(read(), "through peer");
+    {
+        SCOPED_TRACE("refused calls are billed, so the next ones do not try the direct way");
+        const int calls = m_own.calls;
+        EXPECT_EQ(read(), "through peer");
+        EXPECT_EQ(m_own.calls, calls);
+        EXPECT_FALSE(m_store.isDirect());
+    }
+    {
+        SCOPED_TRACE("without a peer the call fails");
+        m_hasPeer = false;
+        EXPECT_EQ(read(), "error: no peer reaches the store");
+    }
+}
+
+TEST_F(RelayedStoreTest, aChangeWhoseFirstTryMayHaveBeenMadeIsNotTriedThroughAPeer)
+{
+    m_own.error = StoreErrorCode::Indeterminate;
+    std::optional<StoreErrorCode> code;
+    m_store.put("kind/a", "next", 5, [&code](const Store::Result<Store::Version> &result) {
+        if (!result)
+            code = result.error().code;
+    });
+    EXPECT_EQ(code, StoreErrorCode::Indeterminate);
+    EXPECT_EQ(m_peers.calls, 0);
+}
+
+TEST_F(RelayedStoreTest, conflictsAndMissingObjectsAreAnswersOfTheStore)
+{
+    std::optional<StoreErrorCode> code;
+    m_store.put("kind/a", "next", 4, [&code](const Store::Result<Store::Version> &result) {
+        code = result.error().code;
+    });
+    EXPECT_EQ(code, StoreErrorCode::Conflict);
+    EXPECT_EQ(m_peers.calls, 0);
+    EXPECT_TRUE(m_store.isDirect());
+
+    SCOPED_TRACE("through a peer as well");
+    m_own.error = StoreErrorCode::Unavailable;
+    m_store.put("kind/a", "next", 4, [&code](const Store::Result<Store::Version> &result) {
+        code = result.error().code;
+    });
+    EXPECT_EQ(code, StoreErrorCode::Conflict);
+}
+
+} // namespace Medlar::Relay
