--- a/src/libs/gate/backendgate.cpp
+++ b/src/libs/gate/backendgate.cpp
@@ -14,7 +14,7 @@
 // After the BackendServer declined a request, that many are sent as it ran then.
 constexpr std::chrono::milliseconds ShedPause{300};
 // A request is begun if this share of the mean service time is left for it.
-constexpr double MinServiceLeft = 0.6;
+constexpr double MinServiceLeft = 0.8;
 // Waiting requests for each slot. Later ones would be served late even if the time was left.
 constexpr std::size_t MaxWaitingPerSlot = 12;
 
@@ -212,6 +212,9 @@
     if (m_queue.empty())
         return std::nullopt;
     Base::TimePoint turn = now + std::chrono::milliseconds(50);
+    // Who waits in vain has to hear of it while there is time for another try.
+    for (const auto &[order, request] : m_queue)
+        turn = std::min(turn, request.deadline - scaled(m_serviceTime, MinServiceLeft));
     if (m_condition.isCold && !m_starts.empty())
         turn = std::min<Base::TimePoint>(turn, m_starts.front() + ColdWindow);
     return std::max(turn, now + std::chrono::milliseconds(1));
--- a/src/libs/http/httpsession.cpp
+++ b/src/libs/http/httpsession.cpp
@@ -87,7 +87,12 @@
     // The first byte is awaited without the parser, so that idle connections have a limit of their
     // own.
     m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
-        if (!error && self->m_input == Input::Idle)
+        if (error || self->m_input != Input::Idle)
+            return;
+        // A server that closes reads nothing behind the requests that it still answers.
+        if (self->m_group->isClosing && !self->m_exchanges.empty())
+            self->m_input = Input::Watched;
+        else
             self->readBody();
     });
 }
@@ -176,7 +181,7 @@
     if (!m_socket.is_open() || m_input != Input::Watched)
         return;
     const bool isLast = !m_exchanges.empty() && !m_exchanges.back().keepAlive;
-    if (!isLast && m_exchanges.size() < m_group->settings.maxPipelined)
+    if (!m_group->isClosing && !isLast && m_exchanges.size() < m_group->settings.maxPipelined)
         readRequest();
     else if (m_group->settings.maxPipelined > 1)
         watchForLeaving();
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -26,7 +26,7 @@
     /*! Ranges of a node in the first table. Interleaved, since busy keys are neighbours. */
     std::size_t firstRangesPerNode = 8;
     /*! Ranges that may be on the move at the same time, so that few keys wait. */
-    std::size_t maxMoves = 6;
+    std::size_t maxMoves = 24;
     /*! More ranges would make the answer to a heartbeat too long. */
     std::size_t maxRangesPerNode = 36;
     /*! Nodes are balanced while the busiest exceeds the mean by this share ... */
@@ -38,7 +38,7 @@
     /*! After this time the reports of the new owner show the load of a range that moved. */
     Base::Duration settling = std::chrono::milliseconds(2500);
     /*! A move has to lower the highest utilization by this much. */
-    double minRelief = 0.06;
+    double minRelief = 0.02;
 };
 
 /*!
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -153,11 +153,10 @@
     }
     const NodeView *const view = m_fleet.find(node);
     const bool isNear = view && view->place.region == m_fleet.find(m_fleet.self())->place.region;
-    message.deadlineLeft
-        = request.deadline - now - (isNear ? ZoneWay : RegionWay) > Base::Duration::zero()
-              ? std::chrono::duration_cast<std::chrono::microseconds>(
-                  request.deadline - now - (isNear ? ZoneWay : RegionWay))
-              : std::chrono::microseconds(0);
+    const Base::Duration left
+        = request.deadline - now - (isNear ? ZoneWay : RegionWay) - ResponseWay;
+    message.deadlineLeft = std::max(std::chrono::duration_cast<std::chrono::microseconds>(left),
+                                    std::chrono::microseconds(0));
     if (m_hooks.send(node, std::move(message)))
         return;
     ForwardResponse answer;
