KeyRange: Fast nodes get more than their share while there is room

Load was also measured by the mean of the last 20 requests, which neighbours on the machine triple for moments. Now the planner weighs busy slots by the usual time that work takes on a node, less so the fuller the service is.

--- a/src/libs/gate/backendgate.cpp
+++ b/src/libs/gate/backendgate.cpp
@@ -9,6 +9,8 @@
 
 // Weight of one request in the mean service time.
 constexpr double ServiceShare = 0.05;
+// Requests in the mean by which BackendServers are compared.
+constexpr std::uint32_t UsualWindow = 250;
 // Starts of a cold BackendServer are counted over this window.
 constexpr std::chrono::seconds ColdWindow{1};
 // After the BackendServer declined a request, that many are sent as it ran then.
@@ -197,8 +199,11 @@
 void BackendGate::onFinished(Base::TimePoint /*now*/, Base::Duration service, bool wasAnswered)
 {
     m_running -= m_running > 0 ? 1 : 0;
-    if (wasAnswered)
-        m_serviceTime += scaled(service - m_serviceTime, ServiceShare);
+    if (!wasAnswered)
+        return;
+    m_serviceTime += scaled(service - m_serviceTime, ServiceShare);
+    m_answered = std::min(m_answered + 1, UsualWindow);
+    m_usualServiceTime += scaled(service - m_usualServiceTime, 1.0 / m_answered);
 }
 
 void BackendGate::onShed(Base::TimePoint now)
--- a/src/libs/gate/backendgate.h
+++ b/src/libs/gate/backendgate.h
@@ -84,7 +84,11 @@
     const BackendCondition &condition() const { return m_condition; }
     std::uint32_t running() const { return m_running; }
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
+    /*! Mean of the last requests. */
     Base::Duration serviceTime() const { return m_serviceTime; }
+    /*! Mean over a longer time, by which BackendServers are compared; neighbours on the same
+     * machine slow each of them down for moments. */
+    Base::Duration usualServiceTime() const { return m_usualServiceTime; }
     /*! When next() may return a request without any other event. */
     std::optional<Base::TimePoint> nextTurn(Base::TimePoint now) const;
 
@@ -112,6 +116,8 @@
     Ticket m_lastTicket = 0;
     std::uint32_t m_running = 0;
     Base::Duration m_serviceTime = std::chrono::milliseconds(50);
+    Base::Duration m_usualServiceTime = std::chrono::milliseconds(50);
+    std::uint32_t m_answered = 0; //!< while the usual time is still being learnt
     Base::TimePoint m_shedUntil{};
     std::uint32_t m_shedLimit = 0;
 };
--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -1,6 +1,7 @@
 #include "rangeplanner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Medlar::KeyRange {
 
@@ -12,7 +13,11 @@
     double load = 0.0; //!< busy slots once all moves have ended
     std::size_t ranges = 0;
 
-    double utilization() const { return load / std::max(node.slots, 1.0); }
+    /*! Busy share of the slots; slow nodes count as busier by \a speedWeight. */
+    double pressure(double speedWeight) const
+    {
+        return load / std::max(node.slots, 1.0) * std::pow(node.slowness, speedWeight);
+    }
 };
 
 // A range of this many keys has to relieve twice as much as a single key.
@@ -41,6 +46,7 @@
     std::map<std::string, NodeState> nodes;
     std::size_t moves = 0;
     bool isChanged = false;
+    double speedWeight = 0.0;
 
     const RangeNode *node(const std::string &id) const
     {
@@ -73,8 +79,9 @@
         NodeState *best = nullptr;
         for (auto &[id, state] : nodes) {
             if (state.node.takesRanges && state.ranges < maxRanges
-                && (!best || state.utilization() < best->utilization()
-                    || (state.utilization() == best->utilization() && state.ranges < best->ranges)))
+                && (!best || state.pressure(speedWeight) < best->pressure(speedWeight)
+                    || (state.pressure(speedWeight) == best->pressure(speedWeight)
+                        && state.ranges < best->ranges)))
                 best = &state;
         }
         return best;
@@ -84,12 +91,12 @@
         return std::find_if(rows.begin(), rows.end(),
                             [&range](const RangeRow &row) { return row.range.contains(range); });
     }
-    /*! Utilization of the busier one after \a busySlots moved from \a source to \a target. */
-    static double busierAfter(const NodeState &source, const NodeState &target, double busySlots)
+    /*! Pressure of the node that has more of it after \a busySlots moved. */
+    double pressureAfter(NodeState source, NodeState target, double busySlots) const
     {
-        const double ratio = target.node.slowness / std::max(0.1, source.node.slowness);
-        return std::max((source.load - busySlots) / std::max(source.node.slots, 1.0),
-                        (target.load + busySlots * ratio) / std::max(target.node.slots, 1.0));
+        source.load -= busySlots;
+        target.load += busySlots * target.node.slowness / std::max(0.1, source.node.slowness);
+        return std::max(source.pressure(speedWeight), target.pressure(speedWeight));
     }
     void setSuccessor(std::size_t index, const std::string &successor)
     {
@@ -146,12 +153,14 @@
                                              const std::vector<RangeLoad> &reported)
 {
     const std::vector<RangeLoad> loads = withCarriedLoads(now, reported);
-    Draft draft{table.rows(), loads, {}, 0, false};
+    Draft draft{table.rows(), loads, {}, 0, false, 0.0};
     for (const RangeNode &node : nodes)
         draft.nodes[node.id] = {node, 0.0, 0};
     for (const RangeRow &row : draft.rows)
         draft.account(row, 1.0);
 
+    draft.speedWeight = speedWeight(draft);
+
     replaceLostSuccessors(draft);
     emptyLeavingNodes(draft);
     for (const RangeRow &row : draft.rows)
@@ -168,6 +177,24 @@
     return result ? std::optional<RangeTable>(std::move(*result)) : std::nullopt;
 }
 
+// While there is room, fast nodes get more than their share, as a request takes less time there.
+// The closer the service is to its limit, the more all slots have to be used.
+double RangePlanner::speedWeight(const Draft &draft)
+{
+    constexpr double FullWeightBelow = 0.2;
+    constexpr double NoWeightAbove = 0.8;
+    double load = 0.0;
+    double capacity = 0.0;
+    for (const auto &[id, state] : draft.nodes) {
+        load += state.load;
+        capacity += state.node.takesRanges ? state.node.slots : 0.0;
+    }
+    if (capacity <= 0.0)
+        return 0.0;
+    return std::clamp((NoWeightAbove - load / capacity) / (NoWeightAbove - FullWeightBelow), 0.0,
+                      1.0);
+}
+
 void RangePlanner::replaceLostSuccessors(Draft &draft) const
 {
     for (std::size_t i = 0; i < draft.rows.size(); ++i) {
@@ -213,12 +240,12 @@
         if (!state.node.takesRanges)
             continue;
         capacity += state.node.slots;
-        if (!source || state.utilization() > source->utilization())
+        if (!source || state.pressure(draft.speedWeight) > source->pressure(draft.speedWeight))
             source = &state;
     }
     if (!source || capacity <= 0.0)
         return false;
-    const double busiest = source->utilization();
+    const double busiest = source->pressure(draft.speedWeight);
     const double mean = load / capacity;
     if (busiest - mean < m_settings.minExcess || busiest < mean * (1.0 + m_settings.imbalance))
         return false;
@@ -239,7 +266,7 @@
             if (&state == source || !state.node.takesRanges
                 || state.ranges >= m_settings.maxRangesPerNode)
                 continue;
-            const double relief = busiest - draft.busierAfter(*source, state, piece.busySlots);
+            const double relief = busiest - draft.pressureAfter(*source, state, piece.busySlots);
             // Keys that move are priced and may have to warm up, so load for each key counts.
             const double score = relief / (1.0 + piece.range.size() / KeysForHalfScore);
             if (relief >= m_settings.minRelief && score > bestScore) {
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -64,6 +64,7 @@
 private:
     struct Draft;
 
+    static double speedWeight(const Draft &draft);
     void replaceLostSuccessors(Draft &draft) const;
     void emptyLeavingNodes(Draft &draft) const;
     void balance(Draft &draft) const;
--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -362,7 +362,8 @@
 struct FieldList<NodeLoad>
 {
     static constexpr auto Members
-        = std::make_tuple(&NodeLoad::running, &NodeLoad::waiting, &NodeLoad::serviceTime);
+        = std::make_tuple(&NodeLoad::running, &NodeLoad::waiting, &NodeLoad::serviceTime,
+                          &NodeLoad::usualServiceTime);
 };
 
 template<>
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -269,7 +269,8 @@
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
-    std::chrono::microseconds serviceTime{0}; //!< recent mean
+    std::chrono::microseconds serviceTime{0};      //!< recent mean
+    std::chrono::microseconds usualServiceTime{0}; //!< mean over a longer time
 };
 
 /*! A call to the object store that the receiver makes for the sender, which is turned away. */
--- a/src/libs/relay/fleetview.cpp
+++ b/src/libs/relay/fleetview.cpp
@@ -72,10 +72,13 @@
 void FleetView::onLoad(Base::TimePoint now, const std::string &node, const Messages::NodeLoad &load)
 {
     NodeView &view = m_nodes[node];
-    const auto serviceTime
-        = load.serviceTime.count() > 0 ? load.serviceTime : view.load.serviceTime;
+    const Messages::NodeLoad former = view.load;
     view.load = load;
-    view.load.serviceTime = serviceTime;
+    // Answers carry the counts only.
+    if (load.serviceTime.count() == 0) {
+        view.load.serviceTime = former.serviceTime;
+        view.load.usualServiceTime = former.usualServiceTime;
+    }
     view.loadAt = now;
 }
 
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -135,7 +135,7 @@
         }
     }
     if (pending.key && m_hooks.onKeyWanted)
-        m_hooks.onKeyWanted(*pending.key, m_gate.serviceTime());
+        m_hooks.onKeyWanted(*pending.key, m_gate.usualServiceTime());
     const auto ticket = m_gate.offer(
         now, {pending.request.priority, now + pending.request.targetLeft, pending.deadline});
     if (!ticket) {
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -183,7 +183,7 @@
                            || response.error == "not-connected";
     m_fleet.onEnded(now, node, now - exchange->sentAt, hasFailed);
     if (node != m_fleet.self())
-        m_fleet.onLoad(now, node, {response.running, response.waiting, {}});
+        m_fleet.onLoad(now, node, {response.running, response.waiting, {}, {}});
     if (response.outcome == Outcome::NotRun)
         onNotRun(exchange, response);
     else
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -306,4 +306,42 @@
     EXPECT_FALSE(errorOf(1).sent);
 }
 
+TEST_F(BackendClientTest, theOwnResponseIsTakenBehindALateOneOfAnEarlierRequest)
+{
+    settings.waitsBehindOtherResponse = true;
+    client = BackendClient::create(context, settings);
+    send("a");
+    ASSERT_TRUE(arrives(0, "a"));
+    backend.connections[0]->write(response("z", "Z") + response("a", "A"));
+    ASSERT_TRUE(ends(0));
+    ASSERT_TRUE(*results[0]);
+    EXPECT_EQ((*results[0])->body, "A");
+    EXPECT_EQ(client->idleConnections(), 0U) << "nobody knows what else the connection brings";
+    EXPECT_EQ(client->counters().mismatchedResponses, 1U);
+}
+
+TEST_F(BackendClientTest, aBodyThatEndsWithItsConnectionIsWholeOnlyAfterAnOrderlyClose)
+{
+    settings.acceptsBodyUntilClose = true;
+    client = BackendClient::create(context, settings);
+    send("a");
+    ASSERT_TRUE(arrives(0, "a"));
+    backend.connections[0]->write("HTTP/1.1 200 OK\r\nMedlar-Request-Id: a\r\n\r\nwhole");
+    backend.connections[0]->close();
+    ASSERT_TRUE(ends(0));
+    ASSERT_TRUE(*results[0]);
+    EXPECT_EQ((*results[0])->body, "whole");
+}
+
+TEST_F(BackendClientTest, aConnectionThatWasIdleForTooLongIsNotUsed)
+{
+    send("a");
+    ASSERT_TRUE(arrives(0, "a"));
+    backend.connections[0]->write(response("a", "A", "Keep-Alive: timeout=0\r\n"));
+    ASSERT_TRUE(ends(0));
+    context.run_for(std::chrono::milliseconds(20));
+    send("b");
+    EXPECT_TRUE(arrives(1, "b"));
+}
+
 } // namespace Medlar::Http
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -202,4 +202,93 @@
     EXPECT_TRUE(client.received().empty());
 }
 
+TEST_F(HttpServerTest, aSlowRequestDoesNotKeepThoseBehindItFromBeingHandled)
+{
+    settings.maxPipelined = 3;
+    start();
+    RawClient client(context, server->port());
+    client.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\nGET /4 "
+                "HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(until([&] { return requests.size() == 3; }));
+    answer(2, "third");
+    answer(1, "second");
+    context.restart();
+    context.poll();
+    EXPECT_EQ(client.received(), "") << "responses keep the order of the requests";
+    EXPECT_EQ(requests.size(), 3U) << "no more than the bound at a time";
+    answer(0, "first");
+    ASSERT_TRUE(until([&] { return client.received().find("third") != std::string::npos; }));
+    EXPECT_LT(client.received().find("first"), client.received().find("second"));
+    EXPECT_LT(client.received().find("second"), client.received().find("third"));
+    EXPECT_TRUE(until([&] { return requests.size() == 4; }));
+}
+
+TEST_F(HttpServerTest, aCallerThatLeavesIsNoticedWhileItsRequestsAreHandled)
+{
+    settings.maxPipelined = 4;
+    start();
+    for (const char *const bytes :
+         {"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n",
+          "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n"}) {
+        SCOPED_TRACE(bytes);
+        requests.clear();
+        RawClient client(context, server->port());
+        client.send(bytes);
+        ASSERT_TRUE(until([&] { return requests.size() == 2; }));
+        int left = 0;
+        for (const HttpRequest &request : requests)
+            request.caller->onLeft([&left] { ++left; });
+        client.close();
+        EXPECT_TRUE(until([&] { return left == 2; }));
+    }
+}
+
+TEST_F(HttpServerTest, aClosingServerAnswersWhatItReadAndReadsNothingBehindIt)
+{
+    settings.maxPipelined = 4;
+    start();
+    RawClient busy(context, server->port());
+    RawClient idle(context, server->port());
+    busy.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(until([&] { return requests.size() == 2; }));
+    server->startClosing();
+    EXPECT_TRUE(until([&] { return idle.isClosed(); }));
+    busy.send("GET /3 HTTP/1.1\r\n\r\n");
+    answer(0, "first");
+    ASSERT_TRUE(until([&] { return busy.received().find("first") != std::string::npos; }));
+    EXPECT_FALSE(busy.isClosed()) << "the second request was read";
+    answer(1, "second");
+    EXPECT_TRUE(until([&] { return busy.isClosed(); }));
+    EXPECT_NE(busy.received().find("second"), std::string::npos);
+    EXPECT_NE(busy.received().find("Connection: close"), std::string::npos);
+    EXPECT_EQ(requests.size(), 2U) << "a process that stops would never get to its end";
+}
+
+TEST_F(HttpServerTest, requestsThatTwoReadersCouldTakeDifferentlyAreRefused)
+{
+    start();
+    for (const std::string bytes :
+         {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"}) {
+        RawClient client(context, server->port());
+        client.send(bytes);
+        EXPECT_TRUE(until([&] { return client.isClosed(); })) << bytes;
+        EXPECT_EQ(client.received().rfind("HTTP/1.1 400", 0), 0U) << bytes << client.received();
+    }
+    EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(HttpServerTest, aRequestThatDoesNotComeWholeInTimeIsAnswered408)
+{
+    settings.answersRequestTimeout = true;
+    settings.requestTimeout = 50ms;
+    start();
+    RawClient client(context, server->port());
+    client.send("GET / HTTP/1.1\r\n");
+    EXPECT_TRUE(until([&] { return client.isClosed(); }));
+    EXPECT_EQ(client.received().rfind("HTTP/1.1 408", 0), 0U) << client.received();
+}
+
 } // namespace Medlar::Http
--- a/tests/auto/messages/tst_messages.cpp
+++ b/tests/auto/messages/tst_messages.cpp
@@ -154,7 +154,7 @@
                                                        {17, "UUBENBUHBWWI"},
                                                        {18, "UUB"},
                                                        {21, "UBBBBTWUUUBF"},
-                                                       {22, "UWWI"},
+                                                       {22, "UWWII"},
                                                        {23, "UUKBBU"}};
     if (!tree.is_array() || tree.empty() || !tree[0].is_number_unsigned())
         return false;
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -39,7 +39,7 @@
         m_fleet.setRecorded(name, {"10.0.0.2", 1, region, zone});
         m_fleet.setLinked(Start, name, true);
         m_fleet.onStatus(Start, name, status("catalog"));
-        m_fleet.onLoad(Start, name, {0, 0, 50ms});
+        m_fleet.onLoad(Start, name, {0, 0, 50ms, 50ms});
     }
 
     /*! Choices of a hundred requests. */
@@ -62,13 +62,13 @@
 {
     EXPECT_EQ(choices(m_wish).count("far"), 0U);
     for (const char *name : {"near", "next"})
-        m_fleet.onLoad(Start, name, {6, 30, 50ms});
+        m_fleet.onLoad(Start, name, {6, 30, 50ms, 50ms});
     EXPECT_EQ(choices(m_wish)["far"], 100) << "the way costs less than the wait";
 }
 
 TEST_F(PlaceChooserTest, homeRegionsBindAlsoWhenTheyAreFull)
 {
-    m_fleet.onLoad(Start, "far", {6, 60, 50ms});
+    m_fleet.onLoad(Start, "far", {6, 60, 50ms, 50ms});
     m_wish.allowedRegions = {"south"};
     EXPECT_EQ(choices(m_wish)["far"], 100);
     m_wish.allowedRegions = {"west"};
@@ -79,9 +79,9 @@
 {
     {
         SCOPED_TRACE("slow");
-        m_fleet.onLoad(Start, "near", {0, 0, 500ms});
+        m_fleet.onLoad(Start, "near", {0, 0, 500ms, 500ms});
         EXPECT_EQ(choices(m_wish)["near"], 0);
-        m_fleet.onLoad(Start, "near", {0, 0, 50ms});
+        m_fleet.onLoad(Start, "near", {0, 0, 50ms, 50ms});
     }
     {
         SCOPED_TRACE("failing, and tried again after a while");
@@ -108,7 +108,7 @@
 
 TEST_F(PlaceChooserTest, equalPlacesShareTheRequests)
 {
-    m_fleet.onLoad(Start, "next", {0, 0, 50ms});
+    m_fleet.onLoad(Start, "next", {0, 0, 50ms, 50ms});
     const auto shares = choices(m_wish);
     EXPECT_GT(shares.at("near"), 20);
     EXPECT_GT(shares.at("next"), 20);
