Relay, Platform: A refused key is not another backend server

Requests for a range that just left now wait at its old owner until the new one is recorded. Ruled out: restarts (no new life) and full connections.

--- a/src/libs/relay/backenddialect.h
+++ b/src/libs/relay/backenddialect.h
@@ -44,7 +44,9 @@
                                         const std::string &backend) const = 0;
     /*! Sets the time that is left, directly before the request is sent. */
     virtual void setTimeLeft(Http::HttpRequest &request, std::chrono::milliseconds left) const = 0;
-    virtual AnswerReading read(const Http::HttpResponse &response) const = 0;
+    /*! \a backend is the id of the BackendServer that was meant. */
+    virtual AnswerReading read(const Http::HttpResponse &response,
+                               const std::string &backend) const = 0;
 };
 
 } // namespace Medlar::Relay
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds MaxIdleNonIdempotent{1000};
 // A request that found its kept connection closed is sent once more, on a new one.
 constexpr unsigned MaxSends = 2;
+constexpr unsigned MaxFailuresInRow = 3;
 
 Base::TimePoint steadyNow()
 {
@@ -67,7 +68,7 @@
         return;
     m_gate.setCondition(steadyNow(), condition);
     if (condition.isPresent)
-        m_refusedInRow = 0;
+        m_failuresInRow = 0;
     pump();
 }
 
@@ -226,9 +227,9 @@
 
 void LocalBackend::onAnswer(std::uint64_t handle, Http::HttpResponse response)
 {
-    const AnswerReading reading = m_dialect.read(response);
+    const AnswerReading reading = m_dialect.read(response, m_backend);
     const bool wasAnswered = reading.kind == AnswerKind::Answered;
-    m_refusedInRow = 0;
+    m_failuresInRow = 0;
     ForwardResponse answer;
     if (reading.kind == AnswerKind::NotRun) {
         if (reading.isOtherBackend && m_hooks.onSuspect)
@@ -255,9 +256,14 @@
 void LocalBackend::onNoAnswer(std::uint64_t handle, const Http::BackendError &error)
 {
     using Code = Http::BackendErrorCode;
-    const bool isCutOff = error.code == Code::Refused || error.code == Code::CutOff;
-    if (isCutOff && m_hooks.onSuspect)
-        m_hooks.onSuspect();
+    // A single connection may be refused or cut for reasons of its own, as when the BackendServer
+    // is full. Several without an answer in between mean that it is not there.
+    const bool isConnectionFailure = error.code == Code::Refused || error.code == Code::CutOff;
+    if (isConnectionFailure && ++m_failuresInRow >= MaxFailuresInRow) {
+        m_failuresInRow = 0;
+        if (m_hooks.onSuspect)
+            m_hooks.onSuspect();
+    }
     const Pending &pending = m_pending.at(handle);
     const bool mayRepeat = !error.sent || pending.request.idempotent;
     const bool isAtOnce = steadyNow() - pending.started < std::chrono::milliseconds(5);
@@ -270,6 +276,7 @@
     ForwardResponse answer;
     answer.outcome = error.sent ? Outcome::Unknown : Outcome::NotRun;
     answer.error = std::string(toString(error.code));
+    answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(m_gate.serviceTime());
     release(handle, false);
     finish(handle, std::move(answer));
 }
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -109,7 +109,7 @@
     std::string m_service;
     std::string m_backend;
     std::uint64_t m_lastHandle = 0;
-    unsigned m_refusedInRow = 0;
+    unsigned m_failuresInRow = 0;
     bool m_isPumpArmed = false;
     bool m_isClosing = false;
     std::unique_ptr<Http::BackendClient> m_client; //!< last, since its callbacks use the rest
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -16,7 +16,7 @@
 constexpr double RetryShare = 0.1;
 constexpr double RetryBurst = 2.0;
 // Nodes that one request may be offered to, declined offers included.
-constexpr unsigned MaxOffers = 4;
+constexpr unsigned MaxOffers = 5;
 // Before the owner of a key is looked up again.
 constexpr milliseconds OwnerPause{60};
 // Keys that have no reachable owner come back within seconds, not at once.
@@ -248,7 +248,10 @@
     }
     const bool isMoving = answer.error == "key-not-held" || answer.error == "key-refused"
                           || answer.error == "other-service";
-    if (isMoving && now + OwnerPause < request.deadline)
+    const auto owner = m_hooks.owner(request.service, *request.key);
+    if (isMoving && owner && *owner != exchange->node)
+        attempt(exchange);
+    else if (isMoving && now + OwnerPause < request.deadline)
         pauseAndAttempt(exchange, OwnerPause);
     else
         refuse(exchange, std::max(exchange->hint, MinRetryAfter), answer.error);
--- a/tests/auto/relay/tst_requestrelay.cpp
+++ b/tests/auto/relay/tst_requestrelay.cpp
@@ -32,7 +32,11 @@
     void setTimeLeft(Http::HttpRequest & /*request*/,
                      std::chrono::milliseconds /*left*/) const override
     {}
-    AnswerReading read(const Http::HttpResponse & /*response*/) const override { return {}; }
+    AnswerReading read(const Http::HttpResponse & /*response*/,
+                       const std::string & /*backend*/) const override
+    {
+        return {};
+    }
 };
 
 struct Sent
