--- a/src/libs/gate/backendgate.h
+++ b/src/libs/gate/backendgate.h
@@ -86,6 +86,8 @@
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
     /*! Mean of the last requests. */
     Base::Duration serviceTime() const { return m_serviceTime; }
+    /*! Whether enough requests were answered for the mean service times to say something. */
+    bool isServiceTimeKnown() const { return m_answered >= MinAnswered; }
     /*! Mean over a longer time, by which BackendServers are compared; neighbours on the same
      * machine slow each of them down for moments. */
     Base::Duration usualServiceTime() const { return m_usualServiceTime; }
@@ -102,6 +104,8 @@
     };
     friend bool operator<(const Order &a, const Order &b);
 
+    static constexpr std::uint32_t MinAnswered = 20;
+
     std::optional<DeclineReason> refusal() const;
     std::uint32_t limit(Base::TimePoint now) const;
     std::uint32_t coldAllowance() const;
--- a/src/libs/relay/placechooser.cpp
+++ b/src/libs/relay/placechooser.cpp
@@ -14,6 +14,9 @@
 constexpr double FailureCost = 500.0; //!< for a node that fails all requests
 constexpr double ColdCost = 60.0;
 constexpr double DefaultServiceMs = 40.0;
+// A BackendServer that has just joined counts as faster than the others, so that it gets requests
+// and shows how fast it is.
+constexpr double NewcomerShare = 0.7;
 // Reports older than this say little; the requests that this daemon sent since then say more.
 constexpr std::chrono::milliseconds LoadAge{1500};
 // Costs vary by this share, so that daemons with the same reports do not all choose the same node.
@@ -31,11 +34,11 @@
 {}
 
 double PlaceChooser::cost(Base::TimePoint now, const std::string &name, const NodeView &node,
-                          const FleetView &fleet) const
+                          const FleetView &fleet, double unknownService) const
 {
     const double slots = std::max<std::uint32_t>(1, node.status.slots);
-    const double service = node.load.serviceTime.count() > 0 ? milliseconds(node.load.serviceTime)
-                                                             : DefaultServiceMs;
+    const double service
+        = node.load.serviceTime.count() > 0 ? milliseconds(node.load.serviceTime) : unknownService;
     const double reported = node.load.running + node.load.waiting;
     const double freshness
         = std::clamp(1.0 - milliseconds(now - node.loadAt) / milliseconds(LoadAge), 0.0, 1.0);
@@ -54,19 +57,34 @@
     return cost + FailureCost * node.failures;
 }
 
+bool PlaceChooser::isCandidate(const std::string &name, const NodeView &node, const PlaceWish &wish)
+{
+    const bool isAllowed
+        = wish.allowedRegions.empty() || wish.allowedRegions.count(node.place.region) != 0;
+    return node.status.service == wish.service && node.takesRequests() && isAllowed
+           && wish.excluded.count(name) == 0;
+}
+
 std::optional<std::string> PlaceChooser::choose(Base::TimePoint now, const FleetView &fleet,
                                                 const PlaceWish &wish)
 {
+    double serviceSum = 0.0;
+    int known = 0;
+    for (const auto &[name, node] : fleet.nodes()) {
+        if (isCandidate(name, node, wish) && node.load.serviceTime.count() > 0) {
+            serviceSum += milliseconds(node.load.serviceTime);
+            ++known;
+        }
+    }
+    const double unknownService
+        = (known > 0 ? serviceSum / known : DefaultServiceMs) * NewcomerShare;
     std::uniform_real_distribution<double> jitter(1.0, 1.0 + Jitter);
     const std::string *best = nullptr;
     double bestCost = 0.0;
     for (const auto &[name, node] : fleet.nodes()) {
-        const bool isAllowed
-            = wish.allowedRegions.empty() || wish.allowedRegions.count(node.place.region) != 0;
-        if (node.status.service != wish.service || !node.takesRequests() || !isAllowed
-            || wish.excluded.count(name) != 0)
+        if (!isCandidate(name, node, wish))
             continue;
-        const double nodeCost = cost(now, name, node, fleet) * jitter(m_random);
+        const double nodeCost = cost(now, name, node, fleet, unknownService) * jitter(m_random);
         if (!best || nodeCost < bestCost) {
             best = &name;
             bestCost = nodeCost;
--- a/src/libs/relay/placechooser.h
+++ b/src/libs/relay/placechooser.h
@@ -33,7 +33,8 @@
 
 private:
     double cost(Base::TimePoint now, const std::string &name, const NodeView &node,
-                const FleetView &fleet) const;
+                const FleetView &fleet, double unknownService) const;
+    static bool isCandidate(const std::string &name, const NodeView &node, const PlaceWish &wish);
 
     std::string m_region;
     std::string m_zone;
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -114,4 +114,14 @@
     EXPECT_GT(shares.at("next"), 20);
 }
 
+TEST_F(PlaceChooserTest, aBackendServerThatJoinedGetsRequestsBeforeItsSpeedIsKnown)
+{
+    m_fleet.onLoad(Start, "near", {0, 0, 20ms, 20ms});
+    m_fleet.onLoad(Start, "next", {0, 0, 20ms, 20ms});
+    m_fleet.setRecorded("joined", {"10.0.0.9", 1, "north", "north-b"});
+    m_fleet.setLinked(Start, "joined", true);
+    m_fleet.onStatus(Start, "joined", status("catalog"));
+    EXPECT_GT(choices(m_wish)["joined"], 20);
+}
+
 } // namespace Medlar::Relay
