--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -136,6 +136,7 @@
                    m_grants.end());
     // What a former process of this daemon granted may be believed in for a whole hold.
     std::vector<Range> known;
+    known.reserve(m_grants.size());
     for (const Grant &grant : m_grants)
         known.push_back(grant.range);
     for (const HeldRange &held : m_held) {
@@ -166,6 +167,7 @@
         grants.push_back({row.range, until, true, 0});
     }
     std::vector<Range> renewed;
+    renewed.reserve(grants.size());
     for (const Grant &grant : grants)
         renewed.push_back(grant.range);
     for (const Grant &grant : m_grants) {
@@ -280,15 +282,14 @@
         const auto succession = m_successions.find({row.range.first, row.epoch});
         const bool mayTake = succession != m_successions.end()
                              && (now >= succession->second + wait || !m_rules.waitsBeforeTakeover);
+        const bool mustRenew = isOwn && row.successor.empty() && m_hasBackend && needsNewEpoch(row)
+                               && !mayBeHeld(now, row.range);
         if (mayRelease) {
             for (RangeRow &piece : handedOver(row)) {
                 piece.epoch = next;
                 rows.push_back(std::move(piece));
             }
-        } else if (mayTake) {
-            rows.push_back({row.range, m_self, next, {}, {}});
-        } else if (isOwn && row.successor.empty() && m_hasBackend && needsNewEpoch(row)
-                   && !mayBeHeld(now, row.range)) {
+        } else if (mayTake || mustRenew) {
             rows.push_back({row.range, m_self, next, {}, {}});
         } else {
             rows.push_back(row);
--- a/src/libs/relay/placechooser.cpp
+++ b/src/libs/relay/placechooser.cpp
@@ -14,9 +14,9 @@
 constexpr double FailureCost = 500.0; //!< for a node that fails all requests
 constexpr double ColdCost = 60.0;
 constexpr double DefaultServiceMs = 40.0;
-// A BackendServer that has just joined counts as faster than the others, so that it gets requests
-// and shows how fast it is.
-constexpr double NewcomerShare = 0.7;
+// A BackendServer that has just joined counts as a little faster than the fastest, so that it gets
+// requests and shows how fast it is.
+constexpr double NewcomerShare = 0.9;
 // Reports older than this say little; the requests that this daemon sent since then say more.
 constexpr std::chrono::milliseconds LoadAge{1500};
 // Costs vary by this share, so that daemons with the same reports do not all choose the same node.
@@ -68,16 +68,14 @@
 std::optional<std::string> PlaceChooser::choose(Base::TimePoint now, const FleetView &fleet,
                                                 const PlaceWish &wish)
 {
-    double serviceSum = 0.0;
-    int known = 0;
+    std::optional<double> fastest;
     for (const auto &[name, node] : fleet.nodes()) {
         if (isCandidate(name, node, wish) && node.load.serviceTime.count() > 0) {
-            serviceSum += milliseconds(node.load.serviceTime);
-            ++known;
+            const double service = milliseconds(node.load.serviceTime);
+            fastest = std::min(fastest.value_or(service), service);
         }
     }
-    const double unknownService
-        = (known > 0 ? serviceSum / known : DefaultServiceMs) * NewcomerShare;
+    const double unknownService = fastest.value_or(DefaultServiceMs) * NewcomerShare;
     std::uniform_real_distribution<double> jitter(1.0, 1.0 + Jitter);
     const std::string *best = nullptr;
     double bestCost = 0.0;
--- a/src/libs/relay/relayedstore.cpp
+++ b/src/libs/relay/relayedstore.cpp
@@ -218,7 +218,7 @@
 }
 
 void RelayedStore::serve(Store::ObjectStore &store, const StoreCall &call,
-                         std::function<void(StoreReply)> done)
+                         const std::function<void(StoreReply)> &done)
 {
     const auto onVersion = [done, id = call.callId](const Store::Result<Version> &result) {
         StoreReply reply;
--- a/src/libs/relay/relayedstore.h
+++ b/src/libs/relay/relayedstore.h
@@ -43,7 +43,7 @@
 
     /*! Makes \a call at \a store for a peer. */
     static void serve(Store::ObjectStore &store, const Messages::StoreCall &call,
-                      std::function<void(Messages::StoreReply)> done);
+                      const std::function<void(Messages::StoreReply)> &done);
 
 private:
     using ReplyCallback = std::function<void(const Messages::StoreReply &)>;
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -107,7 +107,7 @@
             now, m_fleet,
             {request.service, request.route.route.homeRegions, exchange.excluded, targetLeft});
     }
-    const auto owner = m_hooks.owner(request.service, *request.key);
+    auto owner = m_hooks.owner(request.service, *request.key);
     const NodeView *const node = owner ? m_fleet.find(*owner) : nullptr;
     if (!node || !node->isLinked || !request.route.route.allowsRegion(node->place.region))
         return std::nullopt;
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -327,7 +327,7 @@
     send("a");
     ASSERT_TRUE(arrives(0, "a"));
     backend.connections[0]->write("HTTP/1.1 200 OK\r\nMedlar-Request-Id: a\r\n\r\nwhole");
-    backend.connections[0]->close();
+    backend.connections[0]->socket.close();
     ASSERT_TRUE(ends(0));
     ASSERT_TRUE(*results[0]);
     EXPECT_EQ((*results[0])->body, "whole");
