--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -291,4 +291,20 @@
     EXPECT_EQ(client.received().rfind("HTTP/1.1 408", 0), 0U) << client.received();
 }
 
+TEST_F(HttpServerTest, aRequestThatWasPartlyReadWhenTheServerClosedIsStillAnswered)
+{
+    start();
+    RawClient client(context, server->port());
+    client.send("GET /1 HTTP/1.1\r\n");
+    context.run_for(50ms);
+    context.restart();
+    server->startClosing();
+    EXPECT_TRUE(requests.empty()) << "a process that ends because nothing is pending would lose it";
+    client.send("\r\n");
+    ASSERT_TRUE(until([&] { return requests.size() == 1; }));
+    answer(0, "answered");
+    EXPECT_TRUE(until([&] { return client.isClosed(); }));
+    EXPECT_NE(client.received().find("answered"), std::string::npos);
+}
+
 } // namespace Medlar::Http
