Relay: A caller's presence does not keep its exchange alive

The address sanitizer reported a leak: the notice of a caller that leaves held the exchange, which holds the presence. Found with tst_requestrelay in the asan build; all other tests of the new libraries passed there. The buffered log gets a test: a slow sink holds nothing up, lost lines are counted.

--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -88,8 +88,12 @@
     exchange->done = std::move(done);
     ++m_pending;
     budget(exchange->request.service).onRequest();
+    // The presence belongs to the exchange, so it must not keep the exchange alive.
     if (exchange->request.caller)
-        exchange->request.caller->onLeft([this, exchange] { onCallerLeft(exchange); });
+        exchange->request.caller->onLeft([this, weak = std::weak_ptr<Exchange>(exchange)] {
+            if (const ExchangePtr left = weak.lock())
+                onCallerLeft(left);
+        });
     if (exchange->isDone)
         return;
     exchange->deadlineTimer = m_timers.add(exchange->request.deadline - ResponseWay,
--- a/tests/auto/logging/tst_logging.cpp
+++ b/tests/auto/logging/tst_logging.cpp
@@ -1,3 +1,4 @@
+#include "logging/bufferedlog.h"
 #include "logging/consolelog.h"
 #include "logging/decisionlog.h"
 
@@ -116,4 +117,21 @@
     EXPECT_EQ(log.droppedLines(), 0U);
 }
 
+TEST(BufferedLog, aSlowSinkNeverHoldsUpTheWriterAndLostLinesAreCounted)
+{
+    using namespace std::chrono_literals;
+    BlockingSink sink;
+    {
+        BufferedLog log(sink, 2, 1ms);
+        log.write(Base::LogLine("first"));
+        sink.started.get_future().wait();
+        for (int i = 0; i < 5; ++i)
+            log.write(Base::LogLine("later"));
+        EXPECT_EQ(log.droppedLines(), 3U);
+        sink.released.set_value();
+    }
+    ASSERT_EQ(sink.lines.size(), 4U);
+    EXPECT_EQ(sink.lines.back(), "event=log-lines-dropped count=3");
+}
+
 } // namespace Medlar::Logging
