--- a/tests/auto/keyrange/tst_rangeplanner.cpp
+++ b/tests/auto/keyrange/tst_rangeplanner.cpp
@@ -201,10 +201,14 @@
     std::uint32_t movedKeys = 0;
     const std::vector<double> planned = replayHotStretch(true, &movedKeys);
     const std::vector<double> fixed = replayHotStretch(false, nullptr);
-    const double plannedMean
-        = std::accumulate(planned.begin() + 8, planned.end(), 0.0) / (planned.size() - 8);
-    const double fixedMean
-        = std::accumulate(fixed.begin() + 8, fixed.end(), 0.0) / (fixed.size() - 8);
+    const auto meanAfterFourSeconds = [](const std::vector<double> &highest) {
+        constexpr std::ptrdiff_t TicksInFourSeconds = 8;
+        const auto first = highest.begin() + TicksInFourSeconds;
+        return std::accumulate(first, highest.end(), 0.0)
+               / static_cast<double>(highest.end() - first);
+    };
+    const double plannedMean = meanAfterFourSeconds(planned);
+    const double fixedMean = meanAfterFourSeconds(fixed);
     EXPECT_GT(fixedMean, Slots * 1.5) << "more than its slots can do";
     EXPECT_LT(plannedMean, Slots * 0.85) << "after four seconds no node is full";
     EXPECT_LT(movedKeys, 65536U / 4);
--- a/tests/auto/relay/tst_requestrelay.cpp
+++ b/tests/auto/relay/tst_requestrelay.cpp
@@ -94,7 +94,7 @@
         request.received = std::chrono::steady_clock::now();
         request.deadline = request.received + deadline;
         request.caller = m_caller = std::make_shared<Http::CallerPresence>();
-        m_relay.begin(std::move(request), [this](RelayResult result) { m_result = result; });
+        m_relay.begin(std::move(request), [this](const RelayResult &result) { m_result = result; });
     }
 
     void answerLast(Outcome outcome, std::uint16_t status = 0, const std::string &error = {})
