--- a/src/libs/http/headers.cpp
+++ b/src/libs/http/headers.cpp
@@ -24,6 +24,12 @@
            });
 }
 
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), lower);
+    return text;
+}
+
 const std::string *findHeader(const Headers &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
--- a/src/libs/http/headers.h
+++ b/src/libs/http/headers.h
@@ -10,6 +10,9 @@
 /*! Compares header names and other case-insensitive tokens. */
 bool isSameToken(std::string_view a, std::string_view b);
 
+/*! \a text with its ASCII letters in lower case. */
+std::string lowerCase(std::string text);
+
 /*! The first header called \a name, or nullptr. */
 const std::string *findHeader(const Headers &headers, std::string_view name);
 
--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -194,13 +194,6 @@
     });
 }
 
-void RangeKeeper::onBackendEnded()
-{
-    m_grants.clear();
-    m_held.clear();
-    m_freed.clear();
-}
-
 bool RangeKeeper::isHeld(Base::TimePoint now, Key key) const
 {
     return std::any_of(m_grants.begin(), m_grants.end(), [now, key](const Grant &grant) {
--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -104,8 +104,6 @@
     void onConfirmed(Base::TimePoint sentAt, TableVersion version);
     /*! Returns what to grant, or nothing when nothing may be renewed. */
     std::optional<HoldGrant> onHeartbeat(Base::TimePoint now, const HeldReport &report);
-    /*! The BackendServer ended, so it holds nothing. */
-    void onBackendEnded();
 
     // Queries
 
--- a/src/libs/relay/fleetview.cpp
+++ b/src/libs/relay/fleetview.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Weight of one request in the mean latency and in the share of failures.
+// Weight of one request in the share of failures.
 constexpr double RequestShare = 0.1;
 // A node that failed is used last for this long, and longer if its failures go on.
 constexpr std::chrono::milliseconds AvoidPause{200};
@@ -64,7 +64,6 @@
     if (status.backend != view.status.backend) {
         view.failures = 0.0;
         view.avoidUntil = now;
-        view.latency = Base::Duration::zero();
     }
     view.status = status;
 }
@@ -87,8 +86,7 @@
     ++m_nodes[node].outstanding;
 }
 
-void FleetView::onEnded(Base::TimePoint now, const std::string &node, Base::Duration latency,
-                        bool hasFailed)
+void FleetView::onEnded(Base::TimePoint now, const std::string &node, bool hasFailed)
 {
     const auto found = m_nodes.find(node);
     if (found == m_nodes.end())
@@ -100,11 +98,7 @@
         const auto pause = std::chrono::duration_cast<Base::Duration>(
             std::chrono::duration<double, std::milli>(AvoidPause) * (1.0 + 10.0 * view.failures));
         view.avoidUntil = now + std::min<Base::Duration>(pause, MaxAvoidPause);
-        return;
     }
-    const double share = view.latency.count() == 0 ? 1.0 : RequestShare;
-    view.latency += std::chrono::duration_cast<Base::Duration>(
-        std::chrono::duration<double, Base::Duration::period>(latency - view.latency) * share);
 }
 
 const NodeView *FleetView::find(const std::string &node) const
--- a/src/libs/relay/fleetview.h
+++ b/src/libs/relay/fleetview.h
@@ -35,7 +35,6 @@
     Messages::NodeLoad load;
     Base::TimePoint loadAt;
     std::uint32_t outstanding = 0; //!< requests of this daemon that it has not answered
-    Base::Duration latency{0};     //!< recent mean of this daemon's requests, with the way
     double failures = 0.0;         //!< recent share of requests that failed there
     Base::TimePoint avoidUntil;    //!< after a failure
 
@@ -62,8 +61,7 @@
     void onLoad(Base::TimePoint now, const std::string &node, const Messages::NodeLoad &load);
     void onSent(const std::string &node);
     /*! A request ended; \a hasFailed if the node is to blame. */
-    void onEnded(Base::TimePoint now, const std::string &node, Base::Duration latency,
-                 bool hasFailed);
+    void onEnded(Base::TimePoint now, const std::string &node, bool hasFailed);
 
     // Queries
 
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -1,11 +1,13 @@
 #include "localbackend.h"
 
+#include "base/steadyclock.h"
 #include "http/headers.h"
 
 #include <algorithm>
 
 namespace Medlar::Relay {
 
+using Base::steadyNow;
 using Messages::ForwardRequest;
 using Messages::ForwardResponse;
 using Messages::Outcome;
@@ -26,11 +28,6 @@
 constexpr unsigned MaxSends = 2;
 constexpr unsigned MaxFailuresInRow = 3;
 
-Base::TimePoint steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 LocalBackend::LocalBackend(boost::asio::io_context &context,
--- a/src/libs/relay/placechooser.h
+++ b/src/libs/relay/placechooser.h
@@ -15,7 +15,6 @@
     std::string service;
     std::set<std::string> allowedRegions; //!< empty: any
     std::set<std::string> excluded;       //!< nodes that were tried
-    Base::Duration targetLeft{0};         //!< until the answer is late
 };
 
 /*!
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -1,9 +1,12 @@
 #include "requestrelay.h"
 
+#include "base/steadyclock.h"
+
 #include <algorithm>
 
 namespace Medlar::Relay {
 
+using Base::steadyNow;
 using Messages::ForwardRequest;
 using Messages::ForwardResponse;
 using Messages::Outcome;
@@ -29,11 +32,6 @@
 constexpr milliseconds RegionWay{22};
 constexpr milliseconds ZoneWay{2};
 
-Base::TimePoint steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 milliseconds toMilliseconds(Base::Duration duration)
 {
     return std::chrono::duration_cast<milliseconds>(duration);
@@ -106,10 +104,8 @@
     const CallerRequest &request = exchange.request;
     const Base::TimePoint now = steadyNow();
     if (!request.key) {
-        const Base::Duration targetLeft = request.received + request.route.targetLatency - now;
         return m_chooser.choose(
-            now, m_fleet,
-            {request.service, request.route.route.homeRegions, exchange.excluded, targetLeft});
+            now, m_fleet, {request.service, request.route.route.homeRegions, exchange.excluded});
     }
     auto owner = m_hooks.owner(request.service, *request.key);
     const NodeView *const node = owner ? m_fleet.find(*owner) : nullptr;
@@ -185,7 +181,7 @@
     const bool hasFailed = response.outcome == Outcome::Unknown || isServerError
                            || response.error == "backend-declined"
                            || response.error == "not-connected";
-    m_fleet.onEnded(now, node, now - exchange->sentAt, hasFailed);
+    m_fleet.onEnded(now, node, hasFailed);
     if (node != m_fleet.self())
         m_fleet.onLoad(now, node, {response.running, response.waiting, {}, {}});
     if (response.outcome == Outcome::NotRun)
@@ -291,7 +287,7 @@
         = exchange->mayHaveRun || exchange->stream != 0 ? Outcome::Unknown : Outcome::NotRun;
     answer.error = "deadline";
     if (exchange->stream != 0)
-        m_fleet.onEnded(steadyNow(), exchange->node, steadyNow() - exchange->sentAt, true);
+        m_fleet.onEnded(steadyNow(), exchange->node, true);
     stopAttempt(*exchange);
     finish(exchange, {std::move(answer), milliseconds(0), true});
 }
@@ -301,7 +297,7 @@
     if (exchange->isDone)
         return;
     if (exchange->stream != 0)
-        m_fleet.onEnded(steadyNow(), exchange->node, steadyNow() - exchange->sentAt, false);
+        m_fleet.onEnded(steadyNow(), exchange->node, false);
     stopAttempt(*exchange);
     exchange->done = [](const RelayResult &) {};
     ForwardResponse answer;
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -53,7 +53,7 @@
 
     FleetView m_fleet;
     PlaceChooser m_chooser;
-    PlaceWish m_wish{"catalog", {}, {}, 300ms};
+    PlaceWish m_wish{"catalog", {}, {}};
 };
 
 } // namespace
@@ -86,10 +86,10 @@
     {
         SCOPED_TRACE("failing, and tried again after a while");
         m_fleet.onSent("near");
-        m_fleet.onEnded(Start, "near", 5ms, true);
+        m_fleet.onEnded(Start, "near", true);
         EXPECT_EQ(choices(m_wish)["near"], 0);
         for (int i = 0; i < 60; ++i)
-            m_fleet.onEnded(Start, "near", 5ms, false);
+            m_fleet.onEnded(Start, "near", false);
         EXPECT_GT(choices(m_wish, Start + 5s)["near"], 0);
     }
 }
