Platform, Relay: A few nodes of each region watch the store, and reads of a table's version are shared

Change: nodes are not watched, a node that starts announces itself, then lists and calls all others; three nodes of each region watch for the others and tell them; others repair what they missed by stale lists; daemons of a service ask one of them for the table's version, which reads once a second for all that asked before. Left are one announcement and four lists for each start, and one read a second for each service.

--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -31,7 +31,7 @@
 }
 constexpr StoreCall::Kind lastValue(StoreCall::Kind /*unused*/)
 {
-    return StoreCall::Kind::Remove;
+    return StoreCall::Kind::Version;
 }
 
 /*! Longest accepted list in a message. */
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -273,10 +273,17 @@
     std::chrono::microseconds usualServiceTime{0}; //!< mean over a longer time
 };
 
-/*! A call to the object store that the receiver makes for the sender, which is turned away. */
+/*! A call to the object store that the receiver makes for the sender, which is turned away or
+    shares its reads with others. */
 struct StoreCall
 {
-    enum class Kind : std::uint8_t { Get = 0, List = 1, Put = 2, Remove = 3 };
+    enum class Kind : std::uint8_t {
+        Get = 0,
+        List = 1,
+        Put = 2,
+        Remove = 3,
+        Version = 4 //!< the version alone, by a read that begins after the call arrived
+    };
 
     std::uint64_t callId = 0;
     Kind kind = Kind::Get;
--- a/src/libs/relay/relayedstore.cpp
+++ b/src/libs/relay/relayedstore.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds DirectPause{1500};
 // A call of the peer and the way there and back.
 constexpr std::chrono::milliseconds RelayTimeout{1200};
+// A shared read begins up to a second after the question.
+constexpr std::chrono::milliseconds VersionTimeout{1700};
 
 StoreError errorOf(const StoreReply &reply)
 {
@@ -51,8 +53,8 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(boost::asio::io_context &context, Store::ObjectStore &direct,
-                           std::function<bool(const StoreCall &)> send, Base::LogSink &log)
+RelayedStore::RelayedStore(boost::asio::io_context &context, Store::ObjectStore &direct, Send send,
+                           Base::LogSink &log)
     : m_direct(direct), m_send(std::move(send)), m_log(log), m_timers(context)
 {}
 
@@ -78,6 +80,12 @@
 }
 
 void RelayedStore::relay(StoreCall call, ReplyCallback done)
+{
+    relayTo({}, std::move(call), RelayTimeout, std::move(done));
+}
+
+void RelayedStore::relayTo(const std::string &node, StoreCall call,
+                           std::chrono::milliseconds timeout, ReplyCallback done)
 {
     call.callId = ++m_lastCall;
     const std::uint64_t id = call.callId;
@@ -90,18 +98,25 @@
         reply.detail = detail;
         onReply(reply);
     };
-    if (!m_send(call)) {
+    if (!m_send(node, call)) {
         // Callbacks never run within the call that got them.
         m_timers.add(std::chrono::steady_clock::now(),
                      [fail] { fail(StoreErrorCode::Unavailable, "no peer reaches the store"); });
         return;
     }
-    m_timers.add(std::chrono::steady_clock::now() + RelayTimeout, [fail, isChange] {
+    m_timers.add(std::chrono::steady_clock::now() + timeout, [fail, isChange] {
         fail(isChange ? StoreErrorCode::Indeterminate : StoreErrorCode::Unavailable,
              "peer has not answered");
     });
 }
 
+void RelayedStore::versionThrough(const std::string &node, const std::string &key,
+                                  Store::Callback<Version> callback)
+{
+    relayTo(node, {0, StoreCall::Kind::Version, key, {}, 0}, VersionTimeout,
+            asVersion(std::move(callback)));
+}
+
 void RelayedStore::onReply(const StoreReply &reply)
 {
     const auto found = m_calls.find(reply.callId);
@@ -174,6 +189,11 @@
     });
 }
 
+void RelayedStore::listStale(const std::string &prefix, Store::Callback<Store::ListResult> callback)
+{
+    m_direct.listStale(prefix, std::move(callback));
+}
+
 void RelayedStore::put(const std::string &key, const std::string &value, Version expected,
                        Store::Callback<Version> callback)
 {
@@ -217,7 +237,7 @@
     m_direct.watch(prefix, after, timeout, std::move(callback));
 }
 
-void RelayedStore::serve(Store::ObjectStore &store, const StoreCall &call,
+void RelayedStore::serve(Store::ObjectStore &store, SharedReads &reads, const StoreCall &call,
                          const std::function<void(StoreReply)> &done)
 {
     const auto onVersion = [done, id = call.callId](const Store::Result<Version> &result) {
@@ -256,6 +276,9 @@
     case StoreCall::Kind::Remove:
         store.remove(call.key, call.expected, onVersion);
         break;
+    case StoreCall::Kind::Version:
+        reads.version(call.key, onVersion);
+        break;
     }
 }
 
--- /dev/null
+++ b/src/libs/relay/storewatchers.cpp
@@ -0,0 +1,27 @@
+#include "storewatchers.h"
+
+#include "base/keyhash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Medlar::Relay {
+
+bool isStoreWatcher(const FleetView &fleet, std::size_t perRegion)
+{
+    // By hash rather than by name, since the names that come first plan moves already.
+    const auto order = [](const std::string &name) {
+        return std::make_pair(Base::keyHash(name), std::string_view(name));
+    };
+    const auto own = order(fleet.self());
+    const std::string &region = fleet.find(fleet.self())->place.region;
+    const auto before
+        = std::count_if(fleet.nodes().begin(), fleet.nodes().end(), [&](const auto &entry) {
+              const NodeView &node = entry.second;
+              return entry.first != fleet.self() && node.isLinked && node.status.reachesStore
+                     && node.status.region == region && order(entry.first) < own;
+          });
+    return static_cast<std::size_t>(before) < perRegion;
+}
+
+} // namespace Medlar::Relay
--- a/src/libs/store/objectstore.h
+++ b/src/libs/store/objectstore.h
@@ -101,6 +101,11 @@
             callback(ListResult{std::move(*objects), revision});
         });
     }
+    /*! Like listAt(), but the result may be some seconds old, for which the store charges less. */
+    virtual void listStale(const std::string &prefix, Callback<ListResult> callback)
+    {
+        listAt(prefix, std::move(callback));
+    }
     /*! Lists keys and versions; values may be empty. Implementations that can list without values
      * override it. */
     virtual void listKeys(const std::string &prefix, Callback<std::vector<StoredObject>> callback)
--- a/tests/auto/relay/tst_relayedstore.cpp
+++ b/tests/auto/relay/tst_relayedstore.cpp
@@ -76,10 +76,10 @@
     RelayedStoreTest()
         : m_store(
             m_context, m_own,
-            [this](const StoreCall &call) {
+            [this](const std::string & /*node*/, const StoreCall &call) {
                 if (!m_hasPeer)
                     return false;
-                RelayedStore::serve(m_peers, call,
+                RelayedStore::serve(m_peers, m_reads, call,
                                     [this](const StoreReply &reply) { m_store.onReply(reply); });
                 return true;
             },
@@ -101,6 +101,7 @@
     NullLog m_log;
     FakeStore m_own;   //!< the store as it treats this daemon
     FakeStore m_peers; //!< the store as it treats the peer
+    SharedReads m_reads{m_context, m_peers, std::chrono::milliseconds(50)};
     bool m_hasPeer = true;
     RelayedStore m_store;
 };
@@ -157,4 +158,43 @@
     EXPECT_EQ(code, StoreErrorCode::Conflict);
 }
 
+TEST_F(RelayedStoreTest, daemonsThatAskAtOnceShareAReadThatBeginsAfterTheirQuestions)
+{
+    std::vector<Store::Version> versions;
+    const auto ask = [this, &versions] {
+        m_store.versionThrough("reader", "kind/a",
+                               [&versions](const Store::Result<Store::Version> &version) {
+                                   versions.push_back(version.value_or(0));
+                               });
+    };
+    const auto runFor = [this](std::chrono::milliseconds time) {
+        m_context.restart();
+        m_context.run_for(time);
+    };
+    ask();
+    runFor(std::chrono::milliseconds(10));
+    EXPECT_EQ(versions, std::vector<Store::Version>{5});
+    {
+        SCOPED_TRACE(
+            "later ones wait for the next read, which sees what changed before they asked");
+        m_peers.version = 6;
+        ask();
+        ask();
+        ask();
+        runFor(std::chrono::milliseconds(10));
+        EXPECT_EQ(versions.size(), 1U) << "answered from the read before they asked";
+        runFor(std::chrono::milliseconds(100));
+        EXPECT_EQ(versions, (std::vector<Store::Version>{5, 6, 6, 6}));
+        EXPECT_EQ(m_peers.calls, 2) << "one billed call for three questions";
+    }
+    {
+        SCOPED_TRACE("failures of the store reach those who asked");
+        m_peers.error = StoreErrorCode::Unavailable;
+        ask();
+        runFor(std::chrono::milliseconds(100));
+        ASSERT_EQ(versions.size(), 5U);
+        EXPECT_EQ(versions.back(), 0U);
+    }
+}
+
 } // namespace Medlar::Relay
--- /dev/null
+++ b/tests/auto/relay/tst_storewatchers.cpp
@@ -0,0 +1,79 @@
+#include "relay/storewatchers.h"
+
+#include <gtest/gtest.h>
+
+namespace Medlar::Relay {
+namespace {
+
+constexpr std::size_t PerRegion = 3;
+constexpr int NodesPerRegion = 23;
+
+std::string nameOf(const std::string &region, int number)
+{
+    return "node-" + region + '-' + std::to_string(number);
+}
+
+/*! What \a self sees when it is linked to all nodes of three regions. */
+FleetView fleetOf(const std::string &self, const std::string &selfRegion)
+{
+    const Base::TimePoint now{};
+    FleetView fleet(self, {"10.0.0.1", 1, selfRegion, selfRegion + "-a"});
+    for (const char *region : {"north", "south", "west"}) {
+        for (int i = 0; i < NodesPerRegion; ++i) {
+            const std::string name = nameOf(region, i);
+            if (name == self)
+                continue;
+            fleet.setLinked(now, name, true);
+            Messages::NodeStatus status;
+            status.region = region;
+            status.reachesStore = true;
+            fleet.onStatus(now, name, status);
+        }
+    }
+    return fleet;
+}
+
+int watchersIn(const std::string &region)
+{
+    int watchers = 0;
+    for (int i = 0; i < NodesPerRegion; ++i)
+        watchers += isStoreWatcher(fleetOf(nameOf(region, i), region), PerRegion) ? 1 : 0;
+    return watchers;
+}
+
+} // namespace
+
+TEST(StoreWatchers, aFewNodesOfEachRegionWatchSoThatAChangeDoesNotWakeAll)
+{
+    EXPECT_EQ(watchersIn("north"), 3);
+    EXPECT_EQ(watchersIn("south"), 3);
+}
+
+TEST(StoreWatchers, othersStepInForWatchersThatTheStoreTurnsAwayOrThatAreGone)
+{
+    for (int i = 0; i < NodesPerRegion; ++i) {
+        const std::string self = nameOf("north", i);
+        FleetView fleet = fleetOf(self, "north");
+        if (isStoreWatcher(fleet, PerRegion))
+            continue;
+        const FleetView before = fleet;
+        for (const auto &[name, node] : before.nodes()) {
+            if (name == self)
+                continue;
+            Messages::NodeStatus turnedAway = node.status;
+            turnedAway.reachesStore = false;
+            fleet.onStatus({}, name, turnedAway);
+        }
+        EXPECT_TRUE(isStoreWatcher(fleet, PerRegion)) << "nobody else reaches the store";
+        return;
+    }
+    FAIL() << "every node watches";
+}
+
+TEST(StoreWatchers, aNodeWithoutLinksWatchesForItself)
+{
+    EXPECT_TRUE(
+        isStoreWatcher(FleetView("node-north-0", {"10.0.0.1", 1, "north", "north-a"}), PerRegion));
+}
+
+} // namespace Medlar::Relay
