KeyRange, Relay: Fast nodes are filled first, hot keys stay, and requests stay in their region while they are in time

A key with 60 to 80 busy slots of demand (12 exist) moved twice within 2 s, which left it unserved (1,060 declines key-not-held), and kept the planner from relieving any other node. Ruled out: cheaper bytes (incompressible), slimmer messages (headers are 15% of the bytes). Change: slowness counts up to the third power while slots are idle; a key's demand counts up to the slots of a node, and a key that no node can serve moves only to a node 1.3 times as fast; the planner relieves the next node where the busiest cannot be; a request leaves its region only if no node there is expected to serve it within 0.55 of its time.

--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -23,6 +23,19 @@
 // A range of this many keys has to relieve twice as much as a single key.
 constexpr double KeysForHalfScore = 2048.0;
 
+/*! What a key wants beyond the slots of any node is declined wherever it is, so it does not count.
+ */
+void capBusyKeys(std::vector<RangeLoad> &loads, const std::vector<RangeNode> &nodes)
+{
+    double mostSlots = 1.0;
+    for (const RangeNode &node : nodes)
+        mostSlots = std::max(mostSlots, node.slots);
+    for (RangeLoad &piece : loads) {
+        if (piece.range.size() == 1)
+            piece.busySlots = std::min(piece.busySlots, mostSlots);
+    }
+}
+
 /*! Load of a range, from the pieces that lie in it. */
 double loadOf(const Range &range, const std::vector<RangeLoad> &loads)
 {
@@ -152,7 +165,8 @@
                                              const std::vector<RangeNode> &nodes,
                                              const std::vector<RangeLoad> &reported)
 {
-    const std::vector<RangeLoad> loads = withCarriedLoads(now, reported);
+    std::vector<RangeLoad> loads = withCarriedLoads(now, reported);
+    capBusyKeys(loads, nodes);
     Draft draft{table.rows(), loads, {}, 0, false, 0.0};
     for (const RangeNode &node : nodes)
         draft.nodes[node.id] = {node, 0.0, 0};
@@ -179,7 +193,7 @@
 
 // While there is room, fast nodes get more than their share, as a request takes less time there.
 // The closer the service is to its limit, the more all slots have to be used.
-double RangePlanner::speedWeight(const Draft &draft)
+double RangePlanner::speedWeight(const Draft &draft) const
 {
     constexpr double FullWeightBelow = 0.2;
     constexpr double NoWeightAbove = 0.8;
@@ -191,8 +205,9 @@
     }
     if (capacity <= 0.0)
         return 0.0;
-    return std::clamp((NoWeightAbove - load / capacity) / (NoWeightAbove - FullWeightBelow), 0.0,
-                      1.0);
+    return m_settings.maxSpeedWeight
+           * std::clamp((NoWeightAbove - load / capacity) / (NoWeightAbove - FullWeightBelow), 0.0,
+                        1.0);
 }
 
 void RangePlanner::replaceLostSuccessors(Draft &draft) const
@@ -228,66 +243,87 @@
         ++draft.moves;
 }
 
-// Moves the piece of the busiest node, to the node, by which the busier of both gets least busy. A
-// key that alone is too much for its node goes to a faster one, and others leave that node then.
+/*! A piece that may go to another node, and how much that is worth. */
+struct RangePlanner::Move
+{
+    Range piece;
+    std::string target;
+    double score = 0.0;
+};
+
+bool RangePlanner::isSettling(const Range &range) const
+{
+    return std::any_of(m_carried.begin(), m_carried.end(),
+                       [&range](const Carried &entry) { return entry.load.range.overlaps(range); });
+}
+
+// Moves a piece of the busiest node that can be relieved. A key with more demand than any node has
+// slots keeps its node busiest whatever moves, and must not keep the others from being balanced.
 bool RangePlanner::moveOne(Draft &draft) const
 {
-    NodeState *source = nullptr;
+    std::vector<std::pair<double, std::string>> sources;
     double capacity = 0.0;
     double load = 0.0;
-    for (auto &[id, state] : draft.nodes) {
+    for (const auto &[id, state] : draft.nodes) {
         load += state.load;
         if (!state.node.takesRanges)
             continue;
         capacity += state.node.slots;
-        if (!source || state.pressure(draft.speedWeight) > source->pressure(draft.speedWeight))
-            source = &state;
+        sources.emplace_back(state.pressure(draft.speedWeight), id);
+    }
+    std::sort(sources.rbegin(), sources.rend());
+    const double mean = capacity > 0.0 ? load / capacity : 0.0;
+    for (const auto &[pressure, id] : sources) {
+        if (pressure - mean < m_settings.minExcess
+            || pressure < mean * (1.0 + m_settings.imbalance))
+            return false;
+        const auto move = bestMove(draft, id);
+        if (!move)
+            continue;
+        const auto row = draft.rowOf(move->piece);
+        draft.account(*row, -1.0);
+        const Range whole = row->range;
+        const std::size_t index = isolate(draft.rows, move->piece);
+        for (const RangeRow &part : draft.rows) {
+            if (whole.contains(part.range))
+                draft.account(part, 1.0);
+        }
+        draft.setSuccessor(index, move->target);
+        return true;
     }
-    if (!source || capacity <= 0.0)
-        return false;
-    const double busiest = source->pressure(draft.speedWeight);
-    const double mean = load / capacity;
-    if (busiest - mean < m_settings.minExcess || busiest < mean * (1.0 + m_settings.imbalance))
-        return false;
+    return false;
+}
 
-    const Range *best = nullptr;
-    const NodeState *target = nullptr;
-    double bestScore = 0.0;
+// The piece, and the node, by which the busier of both gets least busy.
+std::optional<RangePlanner::Move> RangePlanner::bestMove(Draft &draft,
+                                                         const std::string &sourceId) const
+{
+    const NodeState &source = draft.nodes.at(sourceId);
+    const double pressure = source.pressure(draft.speedWeight);
+    std::optional<Move> best;
     for (const RangeLoad &piece : draft.loads) {
         const auto row = draft.rowOf(piece.range);
-        const bool isSettling
-            = std::any_of(m_carried.begin(), m_carried.end(), [&piece](const Carried &entry) {
-                  return entry.load.range.overlaps(piece.range);
-              });
-        if (isSettling || row == draft.rows.end() || row->owner != source->node.id
-            || !row->successor.empty())
+        if (row == draft.rows.end() || row->owner != sourceId || !row->successor.empty()
+            || isSettling(piece.range))
             continue;
+        const bool isTooBusyKey
+            = piece.range.size() == 1 && piece.busySlots >= std::max(source.node.slots, 1.0);
         for (const auto &[id, state] : draft.nodes) {
-            if (&state == source || !state.node.takesRanges
+            if (&state == &source || !state.node.takesRanges
                 || state.ranges >= m_settings.maxRangesPerNode)
                 continue;
-            const double relief = busiest - draft.pressureAfter(*source, state, piece.busySlots);
+            // It would be overloaded there as well, and unserved while it moves.
+            if (isTooBusyKey
+                && source.node.slowness < state.node.slowness * m_settings.worthwhileSpeedup)
+                continue;
+            const double relief = pressure - draft.pressureAfter(source, state, piece.busySlots);
             // Keys that move are priced and may have to warm up, so load for each key counts.
             const double score = relief / (1.0 + piece.range.size() / KeysForHalfScore);
-            if (relief >= m_settings.minRelief && score > bestScore) {
-                best = &piece.range;
-                target = &state;
-                bestScore = score;
-            }
+            if (relief >= m_settings.minRelief && (!best || score > best->score))
+                best = Move{piece.range, id, score};
         }
     }
-    if (!best)
-        return false;
-    const auto row = draft.rowOf(*best);
-    draft.account(*row, -1.0);
-    const Range whole = row->range;
-    const std::size_t index = isolate(draft.rows, *best);
-    for (const RangeRow &part : draft.rows) {
-        if (whole.contains(part.range))
-            draft.account(part, 1.0);
-    }
-    draft.setSuccessor(index, target->node.id);
-    return true;
+    return best;
 }
 
 } // namespace Medlar::KeyRange
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -39,6 +39,12 @@
     Base::Duration settling = std::chrono::milliseconds(2500);
     /*! A move has to lower the highest utilization by this much. */
     double minRelief = 0.02;
+    /*! How much more a slow node counts as busy while most slots of the service are idle, as an
+     * exponent of its slowness. Service times do not depend on how many slots are busy, so fast
+     * nodes should be nearly full before slow ones get much. */
+    double maxSpeedWeight = 3.0;
+    /*! A key that no node can serve alone moves only to one that is faster by this factor. */
+    double worthwhileSpeedup = 1.3;
 };
 
 /*!
@@ -64,11 +70,15 @@
 private:
     struct Draft;
 
-    static double speedWeight(const Draft &draft);
+    struct Move;
+
+    double speedWeight(const Draft &draft) const;
     void replaceLostSuccessors(Draft &draft) const;
     void emptyLeavingNodes(Draft &draft) const;
     void balance(Draft &draft) const;
     bool moveOne(Draft &draft) const;
+    std::optional<Move> bestMove(Draft &draft, const std::string &sourceId) const;
+    bool isSettling(const Range &range) const;
     std::vector<RangeLoad> withCarriedLoads(Base::TimePoint now,
                                             const std::vector<RangeLoad> &loads);
 
--- a/src/libs/relay/placechooser.cpp
+++ b/src/libs/relay/placechooser.cpp
@@ -10,6 +10,10 @@
 constexpr double ZoneCost = 2.0;
 // The way to another region and back takes 40 ms; its bytes are billed, so it has to gain more.
 constexpr double RegionCost = 120.0;
+// Bytes between regions are billed about as dear as an answer that comes late, so a request stays
+// in its region if it is expected to end there within this share of its time: about half, since
+// many take twice the mean.
+constexpr double InTimeShare = 0.55;
 constexpr double AvoidCost = 400.0;
 constexpr double FailureCost = 500.0; //!< for a node that fails all requests
 constexpr double ColdCost = 60.0;
@@ -77,18 +81,27 @@
     }
     const double unknownService = fastest.value_or(DefaultServiceMs) * NewcomerShare;
     std::uniform_real_distribution<double> jitter(1.0, 1.0 + Jitter);
-    const std::string *best = nullptr;
-    double bestCost = 0.0;
+    struct Best
+    {
+        const std::string *name = nullptr;
+        double cost = 0.0;
+    };
+    Best near;
+    Best any;
+    const double limit = milliseconds(wish.targetLeft) * InTimeShare;
     for (const auto &[name, node] : fleet.nodes()) {
         if (!isCandidate(name, node, wish))
             continue;
-        const double nodeCost = cost(now, name, node, fleet, unknownService) * jitter(m_random);
-        if (!best || nodeCost < bestCost) {
-            best = &name;
-            bestCost = nodeCost;
-        }
+        const double plain = cost(now, name, node, fleet, unknownService);
+        const double varied = plain * jitter(m_random);
+        const bool isNear = node.place.region == m_region && plain <= limit;
+        if (isNear && (!near.name || varied < near.cost))
+            near = {&name, varied};
+        if (!any.name || varied < any.cost)
+            any = {&name, varied};
     }
-    return best ? std::optional<std::string>(*best) : std::nullopt;
+    const std::string *const chosen = near.name ? near.name : any.name;
+    return chosen ? std::optional<std::string>(*chosen) : std::nullopt;
 }
 
 } // namespace Medlar::Relay
--- a/src/libs/relay/placechooser.h
+++ b/src/libs/relay/placechooser.h
@@ -15,11 +15,12 @@
     std::string service;
     std::set<std::string> allowedRegions; //!< empty: any
     std::set<std::string> excluded;       //!< nodes that were tried
+    Base::Duration targetLeft{0};         //!< until an answer is late
 };
 
 /*!
     Chooses the node that serves a request of a service without keys. Answers the load patterns
-   "the caller's region is full" (others are used once waiting there costs more than the way),
+   "the caller's region is full" (others are used only if no node of the region would be in time),
    "BackendServers of unlike speed" and "a BackendServer fails a part of its requests".
 */
 class PlaceChooser
@@ -31,6 +32,7 @@
                                       const PlaceWish &wish);
 
 private:
+    /*! Expected latency in milliseconds, and more for what else speaks against the node. */
     double cost(Base::TimePoint now, const std::string &name, const NodeView &node,
                 const FleetView &fleet, double unknownService) const;
     static bool isCandidate(const std::string &name, const NodeView &node, const PlaceWish &wish);
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -104,8 +104,10 @@
     const CallerRequest &request = exchange.request;
     const Base::TimePoint now = steadyNow();
     if (!request.key) {
-        return m_chooser.choose(
-            now, m_fleet, {request.service, request.route.route.homeRegions, exchange.excluded});
+        return m_chooser.choose(now, m_fleet,
+                                {request.service, request.route.route.homeRegions,
+                                 exchange.excluded,
+                                 request.received + request.route.targetLatency - now});
     }
     auto owner = m_hooks.owner(request.service, *request.key);
     const NodeView *const node = owner ? m_fleet.find(*owner) : nullptr;
--- a/tests/auto/keyrange/tst_rangeplanner.cpp
+++ b/tests/auto/keyrange/tst_rangeplanner.cpp
@@ -176,6 +176,67 @@
     EXPECT_EQ(plan->row(100).range.size(), 1U) << "its neighbours have no part in it";
 }
 
+// Load pattern: one key gets several times what its node can serve.
+TEST(RangePlanner, aKeyThatNoNodeCanServeStaysAndOthersAreBalancedMeanwhile)
+{
+    RangePlanner planner;
+    std::vector<RangeRow> rows;
+    for (Key i = 0; i < 4; ++i)
+        rows.push_back({{i * 16384, i * 16384 + 16383}, "n" + std::to_string(i), 1, {}, {}});
+    const RangeTable table = *RangeTable::create(rows, 1);
+    std::vector<RangeLoad> loads{{{0, 99}, 0.05}, {{100, 100}, 60.0}, {{101, 16383}, 0.05}};
+    for (Key i = 0; i < 8; ++i)
+        loads.push_back({{16384 + i * 2048, 16384 + i * 2048 + 2047}, 1.0});
+    const auto plan = planner.plan(Start, table, nodes(4), loads);
+    ASSERT_TRUE(plan) << "the second busiest node is not relieved";
+    EXPECT_EQ(plan->row(100).successor, "") << "it would be as overloaded elsewhere";
+    const bool isRelieved
+        = std::any_of(plan->rows().begin(), plan->rows().end(), [](const RangeRow &row) {
+              return row.owner == "n1" && !row.successor.empty() && row.successor != "n0";
+          });
+    EXPECT_TRUE(isRelieved);
+}
+
+// Load pattern: a third of the nodes take more than twice as long, and most slots are idle.
+TEST(RangePlanner, fastNodesAreFilledFirstWhileSlotsAreIdle)
+{
+    constexpr int Rounds = 12;
+    constexpr double LoadOfAll = 16.0; // of 36 slots, at mean speed
+    std::vector<RangeNode> all;
+    all.reserve(6);
+    for (int i = 0; i < 6; ++i)
+        all.push_back(node("n" + std::to_string(i), i % 3 == 0 ? 1.6 : 0.7));
+    std::map<std::string, RangeNode> byId;
+    for (const RangeNode &each : all)
+        byId[each.id] = each;
+    RangePlanner planner;
+    RangeTable table = *planner.firstTable(all);
+    std::map<std::string, double> busy;
+    for (int round = 0; round < Rounds; ++round) {
+        std::vector<RangeLoad> loads;
+        busy.clear();
+        for (const RangeRow &row : table.rows()) {
+            const double load
+                = LoadOfAll * row.range.size() / (LastKey + 1) * byId[row.owner].slowness;
+            busy[row.owner] += load;
+            constexpr Key Pieces = 4;
+            for (Key i = 0; i < Pieces; ++i)
+                loads.push_back({{row.range.first + row.range.size() * i / Pieces,
+                                  row.range.first + row.range.size() * (i + 1) / Pieces - 1},
+                                 load / Pieces});
+        }
+        if (const auto plan = planner.plan(Start + round * 3s, table, all, loads))
+            table = settled(*plan);
+    }
+    for (const RangeNode &each : all) {
+        SCOPED_TRACE(each.id);
+        if (each.slowness > 1.0)
+            EXPECT_LT(busy[each.id], Slots * 0.4);
+        else
+            EXPECT_LT(busy[each.id], Slots * 0.75);
+    }
+}
+
 TEST(RangePlanner, aMoveIsNotFollowedByOthersWhileReportsLag)
 {
     RangePlanner planner;
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -53,7 +53,7 @@
 
     FleetView m_fleet;
     PlaceChooser m_chooser;
-    PlaceWish m_wish{"catalog", {}, {}};
+    PlaceWish m_wish{"catalog", {}, {}, {}};
 };
 
 } // namespace
@@ -66,6 +66,19 @@
     EXPECT_EQ(choices(m_wish)["far"], 100) << "the way costs less than the wait";
 }
 
+// Load pattern: waits in the caller's region while another one is idle. Bytes between regions are
+// billed, so requests leave their region only for an answer that would be late otherwise.
+TEST_F(PlaceChooserTest, requestsStayInTheirRegionWhileTheyAreInTimeThere)
+{
+    for (const char *name : {"near", "next"})
+        m_fleet.onLoad(Start, name, {6, 16, 50ms, 50ms});
+    m_wish.targetLeft = 900ms;
+    EXPECT_EQ(choices(m_wish).count("far"), 0U)
+        << "it would be faster there, but it is in time here";
+    m_wish.targetLeft = 150ms;
+    EXPECT_EQ(choices(m_wish)["far"], 100);
+}
+
 TEST_F(PlaceChooserTest, homeRegionsBindAlsoWhenTheyAreFull)
 {
     m_fleet.onLoad(Start, "far", {6, 60, 50ms, 50ms});
