Soak: Daemons as processes under random faults, checked by what callers and backend servers see

sidecar_soak starts daemons beside backend servers and the store of the stand-in, resets, delays, silences and cuts connections one way by loopback proxies, pauses, kills, stops and restarts processes by signals, and lets the store refuse, lose answers, execute late, go deaf and drop its history. It checks that nothing runs unasked, twice or after a refusal, that answers belong to their requests, that no key is held twice and tokens rise, and that service returns.

--- a/src/libs/bench/childprocess.cpp
+++ b/src/libs/bench/childprocess.cpp
@@ -5,8 +5,10 @@
 #include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <system_error>
@@ -30,11 +32,16 @@
 Process::child launch(const std::string &program, const std::vector<std::string> &arguments,
                       const Output &output, std::error_code &error)
 {
-    const auto endWithParent = [](auto &) { ::prctl(PR_SET_PDEATHSIG, SIGKILL); };
+    const auto prepare = [](auto &) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        // A child that inherits listening sockets keeps their ports in use after its parent closed
+        // them.
+        ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
+    };
     return Process::child(
         program, Process::args(arguments),
         Process::std_in<Process::null, (Process::std_out & Process::std_err)> output,
-        Process::extend::on_exec_setup = endWithParent, error);
+        Process::extend::on_exec_setup = prepare, error);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/soak/soakaudit.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/time.h"
+#include "keyrange/rangekeeper.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Medlar::Soak {
+
+/*! Checks the promises of the product by what callers and backend servers see. */
+class SoakAudit
+{
+public:
+    void onSent(const std::string &requestId, bool isIdempotent, std::optional<KeyRange::Key> key);
+    /*! A backend server begins to work on a request. */
+    void onRun(const std::string &requestId, const std::string &backend);
+    /*! \a status 0: the connection ended without a response. */
+    void onAnswer(Base::TimePoint now, const std::string &requestId, unsigned status,
+                  const std::string &body);
+    void onGrant(const std::string &holder, const KeyRange::Range &range,
+                 KeyRange::FencingToken token);
+    void onViolation(const std::string &rule, const std::string &detail);
+
+    static std::string bodyFor(const std::string &requestId) { return "answer to " + requestId; }
+
+    const std::vector<std::string> &violations() const { return m_violations; }
+    std::size_t sent() const { return m_requests.size(); }
+    std::size_t served() const { return m_served; }
+    /*! Share of the answers since \a since that were served. */
+    double servedSince(Base::TimePoint since) const;
+
+private:
+    struct Request
+    {
+        bool isIdempotent = false;
+        unsigned runs = 0;
+        bool wasRefused = false;
+    };
+    struct KeyHistory
+    {
+        std::string holder;
+        KeyRange::FencingToken token = 0;
+    };
+    struct Answer
+    {
+        Base::TimePoint at;
+        bool isServed = false;
+    };
+
+    std::unordered_map<std::string, Request> m_requests;
+    std::map<KeyRange::Key, KeyHistory> m_keys; //!< of a sample of all keys
+    std::vector<Answer> m_answers;
+    std::vector<std::string> m_violations;
+    std::size_t m_served = 0;
+};
+
+} // namespace Medlar::Soak
--- /dev/null
+++ b/tests/soak/soakcluster.cpp
@@ -0,0 +1,346 @@
+#include "soakcluster.h"
+
+#include "base/steadyclock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+namespace Medlar::Soak {
+
+using Base::steadyNow;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Each node has a loopback address of its own, so all use the same ports, as on the platform.
+constexpr int FirstHost = 20;
+// One for all: daemons of one deployment are told the same address of the store.
+constexpr char StoreAddress[] = "127.0.0.10";
+constexpr std::uint16_t CallerPort = 8304;
+constexpr std::uint16_t ReadyPort = 8302;
+constexpr std::uint16_t HeartbeatPort = 8306;
+constexpr std::uint16_t InboundPort = 8300;
+constexpr std::uint16_t BackendPort = 8401;
+constexpr std::uint16_t BackendProxyPort = 8301;
+constexpr std::uint16_t StoreProxyPort = 8309;
+constexpr int FirstInnerPort = 7620;
+constexpr int LastInnerPort = 7635;
+constexpr char KeyedService[] = "catalog";
+constexpr char PlainService[] = "orders";
+constexpr milliseconds CallInterval{25};
+constexpr milliseconds CallDeadline{1200};
+constexpr milliseconds ProcessCheck{50};
+
+json rule(const std::string &name, const std::string &prefix, const char *service, const char *kind)
+{
+    return {{"name", name},
+            {"match", {{"path-prefix", prefix}}},
+            {"route-kind", kind},
+            {"priority", 1},
+            {"target-latency-s", 0.3},
+            {"action", {{"service", service}, {"timeout-s", 1.0}, {"max-attempts", 2}}}};
+}
+
+json configuration(std::uint64_t version)
+{
+    return {{"version", version},
+            {"clusters",
+             {{{"name", KeyedService}, {"sharded", true}, {"max-connections", 60}},
+              {{"name", PlainService}, {"max-connections", 60}}}},
+            {"listeners",
+             {{{"host-name", "soak.example"},
+               {"rules",
+                {rule("k-read", "/k-read/", KeyedService, "idempotent"),
+                 rule("k-write", "/k-write/", KeyedService, "non_idempotent"),
+                 rule("p-read", "/p-read/", PlainService, "idempotent"),
+                 rule("p-write", "/p-write/", PlainService, "non_idempotent")}}}}}};
+}
+
+boost::asio::ip::tcp::endpoint endpoint(const std::string &address, std::uint16_t port)
+{
+    return {boost::asio::ip::make_address(address), port};
+}
+
+} // namespace
+
+struct SoakCluster::Node
+{
+    std::string name;
+    std::string address;
+    std::string zone;
+    std::string region;
+    bool isKeyed = false;
+    std::string settingsFile;
+    std::string logFile;
+    std::unique_ptr<Bench::ChildProcess> process;
+    unsigned starts = 0;
+    bool isStarting = false;
+    std::unique_ptr<SoakBackend> backend;
+    std::unique_ptr<FaultProxy> backendProxy;
+    std::unique_ptr<Http::BackendClient> caller;
+};
+
+SoakCluster::SoakCluster(boost::asio::io_context &context, const SoakSettings &settings,
+                         SoakAudit &audit)
+    : m_context(context)
+    , m_settings(settings)
+    , m_audit(audit)
+    , m_random(settings.seed)
+    , m_store(context)
+    , m_storeProxy(context, endpoint(StoreAddress, StoreProxyPort),
+                   endpoint("127.0.0.1", m_store.port()))
+{
+    m_store.put("config", "main", configuration(1));
+    for (std::size_t i = 0; i < settings.nodes; ++i) {
+        auto node = std::make_unique<Node>();
+        const std::string region = "r" + std::to_string(i % 3);
+        node->name = "soak-" + std::to_string(i);
+        node->address = "127.0.0." + std::to_string(FirstHost + static_cast<int>(i));
+        node->region = region;
+        node->zone = region + "-a";
+        node->isKeyed = i < settings.nodes / 2;
+        node->settingsFile = settings.folder + '/' + node->name + ".json";
+        node->backendProxy
+            = std::make_unique<FaultProxy>(context, endpoint(node->address, BackendProxyPort),
+                                           endpoint(node->address, BackendPort));
+        const std::string service = node->isKeyed ? KeyedService : PlainService;
+        node->backend = std::make_unique<SoakBackend>(
+            context,
+            SoakBackendSettings{node->address, BackendPort, HeartbeatPort,
+                                node->address + ':' + std::to_string(BackendProxyPort), node->zone,
+                                service, node->isKeyed, settings.seed + i},
+            audit);
+        node->backend->onKeyedRun = [this](const SoakBackend &self, KeyRange::Key key) {
+            for (const auto &other : m_nodes) {
+                if (other->backend.get() != &self && other->isKeyed && other->backend->holds(key))
+                    m_audit.onViolation("owner", "key " + std::to_string(key) + " is held by "
+                                                     + self.id() + " and " + other->backend->id());
+            }
+        };
+        const auto at
+            = [&node](std::uint16_t port) { return node->address + ':' + std::to_string(port); };
+        const json file
+            = {{"node-name", node->name},
+               {"ip", node->address},
+               {"zone", node->zone},
+               {"region", node->region},
+               {"service", service},
+               {"app-addr", at(BackendProxyPort)},
+               {"listen-addrs",
+                {{"inbound", at(InboundPort)},
+                 {"outbound", at(CallerPort)},
+                 {"ready", at(ReadyPort)},
+                 {"control-plane", at(HeartbeatPort)}}},
+               {"inner-port-range", {FirstInnerPort, LastInnerPort}},
+               {"beat-interval-s", 0.4},
+               {"limits", {{"max-fds", 4100}}},
+               {"bounds", {"hold-max-s=10", "grace-s=6"}},
+               {"platform",
+                {{"address", std::string(StoreAddress) + ':' + std::to_string(StoreProxyPort)},
+                 {"value-bytes", 1048576}}}};
+        std::ofstream(node->settingsFile) << file.dump(2);
+        Http::BackendClientSettings client;
+        client.address = node->address;
+        client.port = CallerPort;
+        client.requestIdHeader = "Attempt-Id";
+        client.acceptsBodyUntilClose = true;
+        node->caller = Http::BackendClient::create(context, client);
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+SoakCluster::~SoakCluster() = default;
+
+void SoakCluster::log(const std::string &text) const
+{
+    std::cout << "event=soak " << text << '\n';
+}
+
+void SoakCluster::later(milliseconds delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code &error) {
+        if (!error)
+            action();
+    });
+}
+
+milliseconds SoakCluster::between(int least, int most)
+{
+    return milliseconds(std::uniform_int_distribution<int>(least, most)(m_random));
+}
+
+void SoakCluster::startAll()
+{
+    for (const auto &node : m_nodes) {
+        startProcess(*node);
+        node->backend->start();
+        watchProcess(*node);
+    }
+}
+
+void SoakCluster::startProcess(Node &node)
+{
+    setenv("MEDLARSTACK_SETTINGS", node.settingsFile.c_str(), 1);
+    node.logFile
+        = m_settings.folder + '/' + node.name + '.' + std::to_string(node.starts++) + ".log";
+    auto process = Bench::ChildProcess::start(m_settings.program, {}, node.logFile);
+    node.isStarting = false;
+    if (process)
+        node.process = std::move(*process);
+    else
+        m_audit.onViolation("soak", "daemon cannot be started: " + process.error());
+}
+
+// The platform starts a process again after its end.
+void SoakCluster::watchProcess(Node &node)
+{
+    if (!node.isStarting && (!node.process || !node.process->isRunning())) {
+        node.isStarting = true;
+        later(between(100, 800), [this, &node] { startProcess(node); });
+    }
+    later(ProcessCheck, [this, &node] { watchProcess(node); });
+}
+
+void SoakCluster::startCallers()
+{
+    m_isCalling = true;
+    for (const auto &node : m_nodes)
+        call(*node);
+}
+
+void SoakCluster::call(Node &node)
+{
+    if (!m_isCalling)
+        return;
+    const bool isKeyed = m_random() % 2 == 0;
+    const bool isIdempotent = m_random() % 2 == 0;
+    const auto key = static_cast<KeyRange::Key>(m_random() % (KeyRange::LastKey + 1));
+    const std::string id = "soak" + std::to_string(++m_lastRequest);
+    Http::BackendRequest send;
+    send.request.method = isIdempotent ? "GET" : "POST";
+    send.request.target
+        = std::string(isKeyed ? "/k-" : "/p-") + (isIdempotent ? "read/" : "write/") + id;
+    send.request.host = "soak.example";
+    send.request.headers
+        = {{"Attempt-Id", id}, {"Deadline-Ms", std::to_string(CallDeadline.count())}};
+    if (isKeyed)
+        send.request.headers.emplace_back("Shard-Key", std::to_string(key));
+    if (!isIdempotent)
+        send.request.body = "body of " + id;
+    send.requestId = id;
+    send.deadline = steadyNow() + CallDeadline;
+    send.done = [this, id](const Http::BackendResult &result) {
+        m_audit.onAnswer(steadyNow(), id, result ? result->status : 0, result ? result->body : "");
+    };
+    m_audit.onSent(id, isIdempotent, key);
+    node.caller->send(std::move(send));
+    later(CallInterval, [this, &node] { call(node); });
+}
+
+void SoakCluster::startFaults()
+{
+    m_isHarming = true;
+    injectFault();
+}
+
+void SoakCluster::stopFaults()
+{
+    m_isHarming = false;
+}
+
+// Faults last longer than the pause between them, so that they overlap.
+void SoakCluster::injectFault()
+{
+    if (!m_isHarming)
+        return;
+    Node &node = *m_nodes[m_random() % m_nodes.size()];
+    switch (m_random() % 4) {
+    case 0:
+        harmStore();
+        break;
+    case 1:
+        harmConnections(node);
+        break;
+    default:
+        harmProcess(node);
+    }
+    later(between(200, 1200), [this] { injectFault(); });
+}
+
+void SoakCluster::harmStore()
+{
+    Platform::StoreFaults &faults = m_store.faults();
+    const milliseconds length = between(500, 5000);
+    const auto kind = m_random() % 6;
+    log("fault=store kind=" + std::to_string(kind) + " ms=" + std::to_string(length.count()));
+    if (kind == 0)
+        faults.refuseWith = 503;
+    else if (kind == 1)
+        faults.refuseWith = 429;
+    else if (kind == 2)
+        faults.watchesAreDeaf = true;
+    else if (kind == 3)
+        faults.losesAnswers = true;
+    else if (kind == 4)
+        faults.executesLate = true;
+    else
+        m_store.dropHistory();
+    later(length, [this] {
+        m_store.faults() = {};
+        m_store.runLateChanges();
+    });
+}
+
+void SoakCluster::harmConnections(Node &node)
+{
+    FaultProxy &proxy = m_random() % 2 == 0 ? m_storeProxy : *node.backendProxy;
+    const milliseconds length = between(300, 4000);
+    const auto kind = m_random() % 4;
+    log("fault=connections node=" + node.name + " kind=" + std::to_string(kind)
+        + " ms=" + std::to_string(length.count()));
+    if (kind == 0)
+        proxy.resetAll();
+    else if (kind == 1)
+        proxy.setMode(ProxyMode::Delay, between(5, 300));
+    else
+        proxy.setMode(kind == 2 ? ProxyMode::Silent : ProxyMode::OneWay);
+    later(length, [&proxy] { proxy.setMode(ProxyMode::Pass); });
+}
+
+void SoakCluster::harmProcess(Node &node)
+{
+    const auto kind = m_random() % 5;
+    log("fault=process node=" + node.name + " kind=" + std::to_string(kind));
+    if (kind == 4) {
+        node.backend->crash();
+        later(between(100, 2500), [&node] {
+            if (!node.backend->isUp())
+                node.backend->start();
+        });
+        return;
+    }
+    if (!node.process || !node.process->isRunning())
+        return;
+    if (kind == 0) {
+        node.process->signal(SIGKILL);
+    } else if (kind == 1) {
+        node.process->signal(SIGTERM);
+    } else if (kind == 2) {
+        node.process->signal(SIGHUP);
+    } else {
+        const pid_t paused = node.process->pid();
+        node.process->signal(SIGSTOP);
+        later(between(100, 5000), [&node, paused] {
+            if (node.process && node.process->pid() == paused)
+                node.process->signal(SIGCONT);
+        });
+    }
+}
+
+} // namespace Medlar::Soak
--- /dev/null
+++ b/tests/soak/soakcluster.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bench/childprocess.h"
+#include "faultproxy.h"
+#include "http/backendclient.h"
+#include "platformstandin.h"
+#include "soakaudit.h"
+#include "soakbackend.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Medlar::Soak {
+
+struct SoakSettings
+{
+    std::uint64_t seed = 1;
+    std::size_t nodes = 6; //!< half of them with keys
+    std::string program;   //!< of the daemon
+    std::string folder;    //!< for settings files and logs
+};
+
+/*! Daemons as processes, and around them the store, backend servers, callers and faults. */
+class SoakCluster
+{
+public:
+    SoakCluster(boost::asio::io_context &context, const SoakSettings &settings, SoakAudit &audit);
+    ~SoakCluster();
+
+    void startAll();
+    void startCallers();
+    /*! Injects faults one after the other until stopFaults(). */
+    void startFaults();
+    void stopFaults();
+    void stopCallers() { m_isCalling = false; }
+
+private:
+    struct Node;
+
+    void startProcess(Node &node);
+    void watchProcess(Node &node);
+    void call(Node &node);
+    void injectFault();
+    void harmStore();
+    void harmProcess(Node &node);
+    void harmConnections(Node &node);
+    void later(std::chrono::milliseconds delay, std::function<void()> action);
+    std::chrono::milliseconds between(int least, int most);
+    void log(const std::string &text) const;
+
+    boost::asio::io_context &m_context;
+    SoakSettings m_settings;
+    SoakAudit &m_audit;
+    std::mt19937_64 m_random;
+    Platform::PlatformStandin m_store;
+    FaultProxy m_storeProxy;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::uint64_t m_lastRequest = 0;
+    bool m_isCalling = false;
+    bool m_isHarming = false;
+};
+
+} // namespace Medlar::Soak
