Soak: Move beside the stand-in of the platform

Cause: its backend servers speak the platform's wire, whose names belong below platform/ and tests/auto/platform only.

--- a/tests/soak/faultproxy.cpp
+++ b/tests/auto/platform/soak/faultproxy.cpp
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <array>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
@@ -156,4 +156,4 @@
     });
 }
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/faultproxy.h
+++ b/tests/auto/platform/soak/faultproxy.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 /*! How a proxy treats what passes through it. */
 enum class ProxyMode {
@@ -43,4 +43,4 @@
     std::vector<std::weak_ptr<Relay>> m_relays;
 };
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/main.cpp
+++ b/tests/auto/platform/soak/main.cpp
@@ -31,6 +31,7 @@
 int main(int argc, char **argv)
 {
     using namespace Medlar;
+    using namespace Medlar::Platform;
 
     gflags::SetUsageMessage("runs daemons as processes under random faults and checks what callers "
                             "and backend servers see; exits with 1 if a promise was broken");
--- a/tests/soak/soakaudit.cpp
+++ b/tests/auto/platform/soak/soakaudit.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 namespace {
 
@@ -84,4 +84,4 @@
     return answers > 0.0 ? served / answers : 0.0;
 }
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/soakaudit.h
+++ b/tests/auto/platform/soak/soakaudit.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 /*! Checks the promises of the product by what callers and backend servers see. */
 class SoakAudit
@@ -58,4 +58,4 @@
     std::size_t m_served = 0;
 };
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/soakbackend.cpp
+++ b/tests/auto/platform/soak/soakbackend.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 using Base::steadyNow;
 using nlohmann::json;
@@ -223,4 +223,4 @@
     m_holds = std::move(next);
 }
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/soakbackend.h
+++ b/tests/auto/platform/soak/soakbackend.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 struct SoakBackendSettings
 {
@@ -75,4 +75,4 @@
     std::vector<KeyRange::FreedRange> m_freed;
 };
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/soakcluster.cpp
+++ b/tests/auto/platform/soak/soakcluster.cpp
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <iostream>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 using Base::steadyNow;
 using nlohmann::json;
@@ -343,4 +343,4 @@
     }
 }
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
--- a/tests/soak/soakcluster.h
+++ b/tests/auto/platform/soak/soakcluster.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace Medlar::Soak {
+namespace Medlar::Platform::Soak {
 
 struct SoakSettings
 {
@@ -66,4 +66,4 @@
     bool m_isHarming = false;
 };
 
-} // namespace Medlar::Soak
+} // namespace Medlar::Platform::Soak
