CMake: Warnings are no errors in sanitizer builds

The release build compiles every file with warnings as errors, as before, so no warning gets through. Ruled out: back to -O0, at which tst_rangeownership takes 282 s of 300. Measured: tst_backendgate builds with it.

--- a/cmake/medlar.cmake
+++ b/cmake/medlar.cmake
@@ -12,8 +12,10 @@
 target_include_directories(medlar_options INTERFACE ${CMAKE_SOURCE_DIR}/src/libs)
 target_link_libraries(medlar_options INTERFACE Threads::Threads Boost::headers)
 if(MEDLAR_SANITIZE)
-    # Unoptimized, the randomised runs take several times as long, and CI has a time limit.
-    target_compile_options(medlar_options INTERFACE -fsanitize=${MEDLAR_SANITIZE} -fno-omit-frame-pointer -O1)
+    # Unoptimized, the randomised runs take several times as long, and CI has a time limit. With sanitizers
+    # and optimization gcc 12 warns of values as uninitialized that are not; the release build, where
+    # warnings are errors, compiles the same files.
+    target_compile_options(medlar_options INTERFACE -fsanitize=${MEDLAR_SANITIZE} -fno-omit-frame-pointer -O1 -Wno-error)
     target_link_options(medlar_options INTERFACE -fsanitize=${MEDLAR_SANITIZE})
     target_compile_definitions(medlar_options INTERFACE MEDLAR_SANITIZED=1)
     if(MEDLAR_SANITIZE STREQUAL "thread")
