--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -295,7 +295,7 @@
 }
 
 // The piece, and the node, by which the busier of both gets least busy.
-std::optional<RangePlanner::Move> RangePlanner::bestMove(Draft &draft,
+std::optional<RangePlanner::Move> RangePlanner::bestMove(const Draft &draft,
                                                          const std::string &sourceId) const
 {
     const NodeState &source = draft.nodes.at(sourceId);
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -77,7 +77,7 @@
     void emptyLeavingNodes(Draft &draft) const;
     void balance(Draft &draft) const;
     bool moveOne(Draft &draft) const;
-    std::optional<Move> bestMove(Draft &draft, const std::string &sourceId) const;
+    std::optional<Move> bestMove(const Draft &draft, const std::string &sourceId) const;
     bool isSettling(const Range &range) const;
     std::vector<RangeLoad> withCarriedLoads(Base::TimePoint now,
                                             const std::vector<RangeLoad> &loads);
--- a/src/libs/store/objectstore.h
+++ b/src/libs/store/objectstore.h
@@ -129,6 +129,18 @@
 
     /*! Empty when the implementation has no queue. */
     virtual CallQueue callQueue() const { return {}; }
+
+protected:
+    /*! For implementations whose list() is their listAt() without the revision. */
+    static Callback<ListResult> withoutRevision(Callback<std::vector<StoredObject>> callback)
+    {
+        return [callback = std::move(callback)](Result<ListResult> result) {
+            if (result)
+                callback(std::move(result->objects));
+            else
+                callback(tl::unexpected(result.error()));
+        };
+    }
 };
 
 } // namespace Medlar::Store
--- a/tests/auto/platform/soak/soakaudit.cpp
+++ b/tests/auto/platform/soak/soakaudit.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-void SoakAudit::onSent(const std::string &requestId, bool isIdempotent,
-                       std::optional<KeyRange::Key> /*key*/)
+void SoakAudit::onSent(const std::string &requestId, bool isIdempotent)
 {
     m_requests[requestId].isIdempotent = isIdempotent;
 }
--- a/tests/auto/platform/soak/soakaudit.h
+++ b/tests/auto/platform/soak/soakaudit.h
@@ -4,7 +4,6 @@
 #include "keyrange/rangekeeper.h"
 
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,7 +14,7 @@
 class SoakAudit
 {
 public:
-    void onSent(const std::string &requestId, bool isIdempotent, std::optional<KeyRange::Key> key);
+    void onSent(const std::string &requestId, bool isIdempotent);
     /*! A backend server begins to work on a request. */
     void onRun(const std::string &requestId, const std::string &backend);
     /*! \a status 0: the connection ended without a response. */
--- a/tests/auto/platform/soak/soakcluster.cpp
+++ b/tests/auto/platform/soak/soakcluster.cpp
@@ -72,11 +72,8 @@
 {
     std::string name;
     std::string address;
-    std::string zone;
-    std::string region;
     bool isKeyed = false;
     std::string settingsFile;
-    std::string logFile;
     std::unique_ptr<Bench::ChildProcess> process;
     unsigned starts = 0;
     bool isStarting = false;
@@ -99,10 +96,9 @@
     for (std::size_t i = 0; i < settings.nodes; ++i) {
         auto node = std::make_unique<Node>();
         const std::string region = "r" + std::to_string(i % 3);
+        const std::string zone = region + "-a";
         node->name = "soak-" + std::to_string(i);
         node->address = "127.0.0." + std::to_string(FirstHost + static_cast<int>(i));
-        node->region = region;
-        node->zone = region + "-a";
         node->isKeyed = i < settings.nodes / 2;
         node->settingsFile = settings.folder + '/' + node->name + ".json";
         node->backendProxy
@@ -112,7 +108,7 @@
         node->backend = std::make_unique<SoakBackend>(
             context,
             SoakBackendSettings{node->address, BackendPort, HeartbeatPort,
-                                node->address + ':' + std::to_string(BackendProxyPort), node->zone,
+                                node->address + ':' + std::to_string(BackendProxyPort), zone,
                                 service, node->isKeyed, settings.seed + i},
             audit);
         node->backend->onKeyedRun = [this](const SoakBackend &self, KeyRange::Key key) {
@@ -127,8 +123,8 @@
         const json file
             = {{"node-name", node->name},
                {"ip", node->address},
-               {"zone", node->zone},
-               {"region", node->region},
+               {"zone", zone},
+               {"region", region},
                {"service", service},
                {"app-addr", at(BackendProxyPort)},
                {"listen-addrs",
@@ -187,9 +183,9 @@
 void SoakCluster::startProcess(Node &node)
 {
     setenv("MEDLARSTACK_SETTINGS", node.settingsFile.c_str(), 1);
-    node.logFile
+    const std::string logFile
         = m_settings.folder + '/' + node.name + '.' + std::to_string(node.starts++) + ".log";
-    auto process = Bench::ChildProcess::start(m_settings.program, {}, node.logFile);
+    auto process = Bench::ChildProcess::start(m_settings.program, {}, logFile);
     node.isStarting = false;
     if (process)
         node.process = std::move(*process);
@@ -238,7 +234,7 @@
     send.done = [this, id](const Http::BackendResult &result) {
         m_audit.onAnswer(steadyNow(), id, result ? result->status : 0, result ? result->body : "");
     };
-    m_audit.onSent(id, isIdempotent, key);
+    m_audit.onSent(id, isIdempotent);
     node.caller->send(std::move(send));
     later(CallInterval, [this, &node] { call(node); });
 }
