--- a/cmake/medlar.cmake
+++ b/cmake/medlar.cmake
@@ -6,6 +6,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(yaml-cpp REQUIRED)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
 
 add_library(medlar_options INTERFACE)
 target_compile_options(medlar_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
--- a/src/libs/messages/messagecodec.cpp
+++ b/src/libs/messages/messagecodec.cpp
@@ -129,6 +129,19 @@
     return frame;
 }
 
+ByteRange bodyRange(const PeerMessage &message, std::string_view frame)
+{
+    const std::string *body = nullptr;
+    if (const auto *const request = std::get_if<ForwardRequest>(&message))
+        body = &request->body;
+    else if (const auto *const response = std::get_if<ForwardResponse>(&message))
+        body = &response->body;
+    if (!body || body->empty())
+        return {};
+    // A few short fields follow the body.
+    return {frame.rfind(*body), body->size()};
+}
+
 tl::expected<PeerMessage, CodecError> decode(std::string_view frame)
 {
     if (frame.size() > MaxFrameBytes)
--- a/src/libs/peer/peerlinks.h
+++ b/src/libs/peer/peerlinks.h
@@ -26,6 +26,8 @@
 {
     std::string address; //!< IP number; names are never resolved
     std::uint16_t port = 0;
+    /*! Bytes on the way there are dear or slow, as between regions: the link is compressed. */
+    bool wantsCompression = false;
 };
 
 struct PeerLinksSettings
@@ -60,7 +62,7 @@
 struct LinkCounters
 {
     std::uint64_t framesSent = 0;
-    std::uint64_t bytesSent = 0; //!< with WebSocket headers, without TCP/IP headers
+    std::uint64_t bytesSent = 0; //!< as sent, with WebSocket headers, without TCP/IP headers
     std::uint64_t framesReceived = 0;
     std::uint64_t bytesReceived = 0;
 };
--- a/src/libs/peer/websocketcore.cpp
+++ b/src/libs/peer/websocketcore.cpp
@@ -98,10 +98,29 @@
     auto link = std::make_shared<Link>();
     link->peer = std::move(*from);
     link->isInbound = true;
+    const bool wantsCompression
+        = connection->get_request_header(CompressionHeader) == CompressionName;
+    if (wantsCompression && startCompression(*link))
+        connection->append_header(CompressionHeader, CompressionName);
     attach(connection, link);
     return true;
 }
 
+bool WebSocketCore::startCompression(Link &link)
+{
+    auto deflater = FrameDeflater::create();
+    auto inflater = FrameInflater::create();
+    if (!deflater || !inflater) {
+        m_log.write(LogLine("peer-compression-failed")
+                        .add("peer", link.peer.toString())
+                        .add("detail", deflater ? inflater.error() : deflater.error()));
+        return false;
+    }
+    link.deflater = std::move(*deflater);
+    link.inflater = std::move(*inflater);
+    return true;
+}
+
 void WebSocketCore::attach(const ConnectionPtr &connection, const LinkPtr &link)
 {
     using Handle = websocketpp::connection_hdl;
@@ -142,6 +161,8 @@
     connection->append_header(FromHeader, m_settings.self.toString());
     if (to.isValid())
         connection->append_header(ToHeader, to.toString());
+    if (address.wantsCompression)
+        connection->append_header(CompressionHeader, CompressionName);
 
     auto link = std::make_shared<Link>();
     link->peer = to;
@@ -170,6 +191,12 @@
         drop(link, "other-instance-answered");
         return;
     }
+    const bool isCompressed
+        = !link->isInbound && connection->get_response_header(CompressionHeader) == CompressionName;
+    if (isCompressed && !startCompression(*link)) {
+        drop(link, "no-compression");
+        return;
+    }
 
     PeerState &peer = stateOf(link->peer);
     if (peer.connecting == link)
@@ -184,14 +211,16 @@
     link->isOpen = true;
     peer.open.push_back(link);
     peer.backoff.onSuccess();
-    m_log.write(
-        LogLine("peer-link-up").add("peer", link->peer.toString()).add("inbound", link->isInbound));
+    m_log.write(LogLine("peer-link-up")
+                    .add("peer", link->peer.toString())
+                    .add("inbound", link->isInbound)
+                    .add("compressed", link->deflater != nullptr));
 
-    const std::vector<std::string> pending = std::move(peer.pending);
+    const std::vector<OutgoingFrame> pending = std::move(peer.pending);
     peer.pending.clear();
     peer.pendingBytes = 0;
-    for (const std::string &frame : pending)
-        sendOn(*link, frame);
+    for (const OutgoingFrame &frame : pending)
+        sendOn(link, frame);
     if (m_callbacks.onLinkUp)
         m_callbacks.onLinkUp(link->peer);
 }
@@ -264,29 +293,55 @@
         drop(link, "frame-not-binary");
         return;
     }
-    auto message = Messages::decode(payload);
-    if (!message) {
-        m_log.write(LogLine("peer-frame-invalid")
-                        .add("peer", link->peer.toString())
-                        .add("detail", message.error().detail));
+    const auto reject = [&](const std::string &detail) {
+        m_log.write(
+            LogLine("peer-frame-invalid").add("peer", link->peer.toString()).add("detail", detail));
         drop(link, "frame-invalid");
+    };
+    std::string_view plain = payload;
+    tl::expected<std::string, std::string> unpacked;
+    if (link->inflater) {
+        unpacked = link->inflater->unpack(payload, m_settings.maxFrameBytes);
+        if (!unpacked) {
+            reject(unpacked.error());
+            return;
+        }
+        plain = *unpacked;
+    }
+    auto message = Messages::decode(plain);
+    if (!message) {
+        reject(message.error().detail);
         return;
     }
     if (m_callbacks.onMessage)
         m_callbacks.onMessage(link->peer, std::move(*message));
 }
 
-SendResult WebSocketCore::sendOn(Link &link, const std::string &frame)
+SendResult WebSocketCore::sendOn(const LinkPtr &link, const OutgoingFrame &frame)
 {
-    const ConnectionPtr connection = link.connection.lock();
+    const ConnectionPtr connection = link->connection.lock();
     if (!connection)
         return SendResult::NotConnected;
-    if (connection->get_buffered_amount() + frame.size() > m_settings.sendBufferBytes)
+    if (connection->get_buffered_amount() + frame.bytes.size() > m_settings.sendBufferBytes)
         return SendResult::BufferFull;
-    if (connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary))
+    std::string packed;
+    if (link->deflater) {
+        auto result = link->deflater->pack(frame.bytes, frame.body);
+        if (!result) {
+            drop(link, "compression-failed");
+            return SendResult::NotConnected;
+        }
+        packed = std::move(*result);
+    }
+    const std::string &payload = link->deflater ? packed : frame.bytes;
+    if (connection->send(payload.data(), payload.size(), websocketpp::frame::opcode::binary)) {
+        // The other end could not read any later frame without this one.
+        if (link->deflater)
+            drop(link, "frame-not-sent");
         return SendResult::NotConnected;
-    const std::uint64_t bytes = frameBytes(frame.size(), !link.isInbound);
-    for (LinkCounters *counters : {&link.counters, &m_total}) {
+    }
+    const std::uint64_t bytes = frameBytes(payload.size(), !link->isInbound);
+    for (LinkCounters *counters : {&link->counters, &m_total}) {
         ++counters->framesSent;
         counters->bytesSent += bytes;
     }
@@ -298,16 +353,18 @@
     if (m_stopped || to == m_settings.self)
         return SendResult::NotConnected;
     PeerState &peer = stateOf(to);
-    if (!peer.open.empty())
-        return sendOn(*peer.open.back(), Messages::encode(message));
+    if (!peer.open.empty()) {
+        const LinkPtr link = peer.open.back();
+        return sendOn(link, OutgoingFrame(message));
+    }
     if (!peer.connecting) {
         if (!peer.backoff.mayConnect(std::chrono::steady_clock::now()) || !connect(to))
             return SendResult::NotConnected;
     }
-    std::string frame = Messages::encode(message);
-    if (peer.pendingBytes + frame.size() > m_settings.sendBufferBytes)
+    OutgoingFrame frame(message);
+    if (peer.pendingBytes + frame.bytes.size() > m_settings.sendBufferBytes)
         return SendResult::BufferFull;
-    peer.pendingBytes += frame.size();
+    peer.pendingBytes += frame.bytes.size();
     peer.pending.push_back(std::move(frame));
     return SendResult::Queued;
 }
--- a/src/libs/peer/websocketcore.h
+++ b/src/libs/peer/websocketcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framecompression.h"
 #include "peerlinks.h"
 #include "websocketconfig.h"
 
@@ -16,9 +17,23 @@
     bool isOpen = false;
     bool isDropped = false;
     LinkCounters counters;
+    // Both or none.
+    std::unique_ptr<FrameDeflater> deflater;
+    std::unique_ptr<FrameInflater> inflater;
 };
 using LinkPtr = std::shared_ptr<Link>;
 
+/*! A message as encoded, and which part of it is not worth compressing. */
+struct OutgoingFrame
+{
+    explicit OutgoingFrame(const Messages::PeerMessage &message)
+        : bytes(Messages::encode(message)), body(Messages::bodyRange(message, bytes))
+    {}
+
+    std::string bytes;
+    Messages::ByteRange body;
+};
+
 /*! All links to one instance. */
 struct PeerState
 {
@@ -26,7 +41,7 @@
 
     LinkPtr connecting;
     std::vector<LinkPtr> open; //!< messages are sent on the last one
-    std::vector<std::string> pending;
+    std::vector<OutgoingFrame> pending;
     std::size_t pendingBytes = 0;
     LinkBackoff backoff;
 };
@@ -76,7 +91,9 @@
     void onFrame(const LinkPtr &link, const LinkConfig::message_type &frame);
     void drop(const LinkPtr &link, const char *reason);
     bool forget(const LinkPtr &link);
-    SendResult sendOn(Link &link, const std::string &frame);
+    SendResult sendOn(const LinkPtr &link, const OutgoingFrame &frame);
+    /*! Returns false, and leaves the link plain, when there is no memory for it. */
+    bool startCompression(Link &link);
     PeerState &stateOf(const Base::InstanceId &peer);
     void forgetIdlePeers();
     std::size_t openLinks() const;
--- a/tests/auto/peer/tst_peerlinks.cpp
+++ b/tests/auto/peer/tst_peerlinks.cpp
@@ -58,7 +58,7 @@
             const auto found = ports.find(id);
             if (found == ports.end())
                 return std::nullopt;
-            return PeerAddress{"127.0.0.1", found->second};
+            return PeerAddress{"127.0.0.1", found->second, wantsCompression};
         };
         callbacks.onMessage = [d](const InstanceId &from, Messages::PeerMessage &&message) {
             d->received.emplace_back(from, std::move(message));
@@ -112,6 +112,7 @@
     asio::io_context context{1};
     RecordingSink log;
     std::map<InstanceId, std::uint16_t> ports;
+    bool wantsCompression = false;
 };
 
 const InstanceId A{"a", 1};
@@ -149,6 +150,32 @@
     EXPECT_EQ(a->links->links()[0].counters.framesReceived, 1U);
 }
 
+// Messages that were queued before the link was open have to be the first of the compressed stream.
+TEST_F(PeerLinksTest, compressedLinkCarriesTheSameMessagesInFewerBytes)
+{
+    wantsCompression = true;
+    auto a = start(A);
+    auto b = start(B);
+    constexpr std::uint64_t Count = 200;
+    const Messages::ObjectChanged object{"config/current", 7, std::string(20000, 'r')};
+    EXPECT_EQ(a->links->send(B, object), SendResult::Queued);
+    ASSERT_TRUE(runUntil([&] { return b->received.size() == 1; }));
+    for (std::uint64_t i = 0; i < Count; ++i) {
+        EXPECT_EQ(a->links->send(B, renewal(i)), SendResult::Accepted);
+        EXPECT_EQ(b->links->send(A, renewal(i)), SendResult::Accepted);
+    }
+    ASSERT_TRUE(
+        runUntil([&] { return b->received.size() == Count + 1 && a->received.size() == Count; }));
+    EXPECT_EQ(std::get<Messages::ObjectChanged>(b->received[0].second).value, object.value);
+    for (std::uint64_t i = 0; i < Count; ++i) {
+        EXPECT_EQ(std::get<Messages::RenewLease>(b->received[i + 1].second).sequence, i);
+        EXPECT_EQ(std::get<Messages::RenewLease>(a->received[i].second).sequence, i);
+    }
+    EXPECT_LT(a->links->total().bytesSent, 20000U);
+    EXPECT_EQ(a->links->total().bytesSent, b->links->total().bytesReceived);
+    EXPECT_EQ(log.count("compressed=true"), 2U);
+}
+
 TEST_F(PeerLinksTest, wrongOrMissingCredentialIsRefusedWith401)
 {
     auto a = start(A);
