Relay: Objects are asked of different peers, one copy at a time

Ruled out: the store (watchers had the version 0.2 s after it was written) and the parsing (a restarted node reads it from the store within 0.3 s). Now a pure ObjectInquiry chooses at random among the peers of the region that know, keeps one question open for each object, and asks another peer after 0.8 s or when the link is lost. Links inside a zone are compressed too, since a watcher sends the object to its neighbours over the same slow link; 430 KB become about 65 KB.

--- a/src/libs/peer/peerlinks.h
+++ b/src/libs/peer/peerlinks.h
@@ -26,8 +26,6 @@
 {
     std::string address; //!< IP number; names are never resolved
     std::uint16_t port = 0;
-    /*! Bytes on the way there are dear or slow, as between regions: the link is compressed. */
-    bool wantsCompression = false;
 };
 
 struct PeerLinksSettings
@@ -42,6 +40,8 @@
     std::size_t maxLinks = 2048;
     /*! Unacknowledged bytes older than this end the link, so that a partition is noticed. */
     std::chrono::milliseconds unacknowledgedTimeout{2000};
+    /*! Asks for compression of the links that this side opens; a peer that asks gets it. */
+    bool wantsCompression = false;
     BackoffSettings backoff;
     std::uint64_t seed = 0; //!< of the jitter
 };
--- a/src/libs/peer/websocketcore.cpp
+++ b/src/libs/peer/websocketcore.cpp
@@ -161,7 +161,7 @@
     connection->append_header(FromHeader, m_settings.self.toString());
     if (to.isValid())
         connection->append_header(ToHeader, to.toString());
-    if (address.wantsCompression)
+    if (m_settings.wantsCompression)
         connection->append_header(CompressionHeader, CompressionName);
 
     auto link = std::make_shared<Link>();
--- /dev/null
+++ b/src/libs/relay/objectinquiry.cpp
@@ -0,0 +1,40 @@
+#include "objectinquiry.h"
+
+#include <algorithm>
+
+namespace Medlar::Relay {
+
+namespace {
+
+// Another peer is asked after this time. 65 KB, a compressed configuration of 1,500 routes, take
+// 50 ms on a link of 10 Mbit/s, and a configuration has to be in force within 2.5 s.
+constexpr std::chrono::milliseconds AnswerTimeout{800};
+
+} // namespace
+
+std::optional<std::string> ObjectInquiry::ask(Base::TimePoint now, const std::string &key,
+                                              std::vector<std::string> candidates)
+{
+    const auto open = m_open.find(key);
+    if (open != m_open.end()) {
+        if (now - open->second.since < AnswerTimeout)
+            return std::nullopt;
+        const auto silent = std::find(candidates.begin(), candidates.end(), open->second.peer);
+        if (candidates.size() > 1 && silent != candidates.end())
+            candidates.erase(silent);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
+    const std::string peer = candidates[index(m_random)];
+    m_open[key] = {peer, now};
+    return peer;
+}
+
+void ObjectInquiry::onPeerLost(const std::string &peer)
+{
+    for (auto entry = m_open.begin(); entry != m_open.end();)
+        entry = entry->second.peer == peer ? m_open.erase(entry) : std::next(entry);
+}
+
+} // namespace Medlar::Relay
--- a/tests/auto/peer/tst_peerlinks.cpp
+++ b/tests/auto/peer/tst_peerlinks.cpp
@@ -53,12 +53,13 @@
         settings.maxFrameBytes = 100000;
         settings.sendBufferBytes = sendBufferBytes;
         settings.backoff = {1ms, 2ms};
+        settings.wantsCompression = wantsCompression;
         PeerCallbacks callbacks;
         callbacks.resolve = [this](const InstanceId &id) -> std::optional<PeerAddress> {
             const auto found = ports.find(id);
             if (found == ports.end())
                 return std::nullopt;
-            return PeerAddress{"127.0.0.1", found->second, wantsCompression};
+            return PeerAddress{"127.0.0.1", found->second};
         };
         callbacks.onMessage = [d](const InstanceId &from, Messages::PeerMessage &&message) {
             d->received.emplace_back(from, std::move(message));
--- /dev/null
+++ b/tests/auto/relay/tst_objectinquiry.cpp
@@ -0,0 +1,81 @@
+#include "relay/objectinquiry.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace Medlar::Relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr char Key[] = "config/main";
+const Base::TimePoint Start{1000s};
+
+std::vector<std::string> peers(int count)
+{
+    std::vector<std::string> result;
+    for (int i = 0; i < count; ++i)
+        result.push_back("node-" + std::to_string(i));
+    return result;
+}
+
+} // namespace
+
+// All nodes of a region asked the same peer for a configuration of 430 KB, which took 3 s over its
+// link of 10 Mbit/s: longer than a configuration may take to be in force.
+TEST(ObjectInquiry, nodesThatAskAtOnceSpreadOverThePeersThatKnow)
+{
+    constexpr int Nodes = 60;
+    constexpr int Peers = 3;
+    std::map<std::string, int> asked;
+    for (int node = 0; node < Nodes; ++node) {
+        ObjectInquiry inquiry(static_cast<std::uint64_t>(node));
+        ++asked[inquiry.ask(Start, Key, peers(Peers)).value_or("none")];
+    }
+    EXPECT_EQ(asked.size(), std::size_t(Peers));
+    for (const auto &[peer, count] : asked)
+        EXPECT_LT(count, Nodes / 2) << peer;
+}
+
+// Each repeated status of a peer made a node ask again while the first copy was on its way.
+TEST(ObjectInquiry, oneCopyIsOnItsWayAtATime)
+{
+    ObjectInquiry inquiry(1);
+    ASSERT_TRUE(inquiry.ask(Start, Key, peers(3)));
+    EXPECT_FALSE(inquiry.ask(Start + 100ms, Key, peers(3)));
+    {
+        SCOPED_TRACE("other objects are asked for meanwhile");
+        EXPECT_TRUE(inquiry.ask(Start + 100ms, "ranges/berths", peers(3)));
+    }
+    {
+        SCOPED_TRACE("the answer may have been of an older version than the last one known");
+        inquiry.onAnswered(Key);
+        EXPECT_TRUE(inquiry.ask(Start + 200ms, Key, peers(3)));
+    }
+}
+
+TEST(ObjectInquiry, aPeerThatDoesNotAnswerIsReplaced)
+{
+    ObjectInquiry inquiry(1);
+    const auto first = inquiry.ask(Start, Key, peers(2));
+    ASSERT_TRUE(first);
+    {
+        SCOPED_TRACE("after a second without an answer");
+        const auto second = inquiry.ask(Start + 1s, Key, peers(2));
+        ASSERT_TRUE(second);
+        EXPECT_NE(*second, *first);
+        SCOPED_TRACE("at once when its link is lost");
+        inquiry.onPeerLost(*second);
+        EXPECT_TRUE(inquiry.ask(Start + 1s, Key, peers(2)));
+    }
+    {
+        SCOPED_TRACE("the only one that knows is asked again");
+        const auto only = inquiry.ask(Start + 3s, Key, peers(1));
+        EXPECT_EQ(only, "node-0");
+        EXPECT_EQ(inquiry.ask(Start + 5s, Key, peers(1)), "node-0");
+    }
+    EXPECT_FALSE(inquiry.ask(Start + 9s, Key, {}));
+}
+
+} // namespace Medlar::Relay
