Gate, Relay: Declines with slots free do not idle slots, and calls make room where homes bind

Now only a full server throttles its gate, by the load that it reports, and a keyed request is offered there again within the share of repeats. - Requests of repair-log are bound to two regions, whose servers run 8 to 10 of 12 slots with queues of 100 to 200 ms, while those of the third run 3 to 4. Calls that may go anywhere filled the two as well. Now they cost more there from half of the slots on, by the homes of the other routes of the service. Ruled out: that the servers were full when they declined (their own Server-Load says otherwise).

--- a/src/libs/configuration/routetable.h
+++ b/src/libs/configuration/routetable.h
@@ -86,6 +86,7 @@
     std::uint32_t maxConnections = 120;    //!< of one BackendServer, from all callers
     std::chrono::milliseconds coldTime{0}; //!< after a start
     double coldRequestsPerSecond = 0.0;    //!< that a cold BackendServer bears
+    std::set<std::string> homeRegions;     //!< of all its routes that have any
 };
 
 /*! What callers may send, and how long they may take. */
--- a/src/libs/gate/backendgate.cpp
+++ b/src/libs/gate/backendgate.cpp
@@ -261,8 +261,11 @@
     m_usualServiceTime += scaled(service - m_usualServiceTime, 1.0 / m_answered);
 }
 
-void BackendGate::onShed(Base::TimePoint now)
+void BackendGate::onShed(Base::TimePoint now, std::optional<std::uint32_t> occupied)
 {
+    // Fewer requests would not make it decline less, but leave its free slots unused.
+    if (occupied && *occupied < m_condition.slots)
+        return;
     m_shedUntil = now + ShedPause;
     m_shedLimit = std::max<std::uint32_t>(1, m_running);
 }
--- a/src/libs/gate/backendgate.h
+++ b/src/libs/gate/backendgate.h
@@ -59,7 +59,8 @@
    "more requests than slots" (those that would be late are declined at once, so that those that are
    taken are not all served just too late; urgent ones go first), "one key gets more requests than
    slots" (it leaves places in the queue to other keys) and "a cold BackendServer" (a bounded number
-   of requests in each second).
+   of requests in each second) and "a BackendServer declines a part of its requests while slots are
+   free" (its slots go on being used).
 */
 class BackendGate
 {
@@ -78,8 +79,9 @@
     bool cancel(Ticket ticket);
     /*! A request that next() returned has ended after \a service. */
     void onFinished(Base::TimePoint now, Base::Duration service, bool wasAnswered);
-    /*! The BackendServer was full: less is sent to it for a moment. */
-    void onShed(Base::TimePoint now);
+    /*! The BackendServer declined a request and said that it has \a occupied requests. If it was
+       full, less is sent to it for a moment. */
+    void onShed(Base::TimePoint now, std::optional<std::uint32_t> occupied);
 
     // Queries
 
--- a/src/libs/relay/placechooser.cpp
+++ b/src/libs/relay/placechooser.cpp
@@ -17,6 +17,11 @@
 constexpr double AvoidCost = 400.0;
 constexpr double FailureCost = 500.0; //!< for a node that fails all requests
 constexpr double ColdCost = 60.0;
+// For a full node where requests wait that may go nowhere else; less below this share of its slots.
+// Twice the price of another region, so that they are used alike at three quarters of the slots,
+// where waiting begins.
+constexpr double ContendedCost = 240.0;
+constexpr double ContendedFrom = 0.5;
 constexpr double DefaultServiceMs = 40.0;
 // A BackendServer that has just joined counts as a little faster than the fastest, so that it gets
 // requests and shows how fast it is.
@@ -38,7 +43,8 @@
 {}
 
 double PlaceChooser::cost(Base::TimePoint now, const std::string &name, const NodeView &node,
-                          const FleetView &fleet, double unknownService) const
+                          const FleetView &fleet, const PlaceWish &wish,
+                          double unknownService) const
 {
     const double slots = std::max<std::uint32_t>(1, node.status.slots);
     const double service
@@ -58,6 +64,8 @@
         cost += AvoidCost;
     if (node.status.state == Messages::BackendState::Cold)
         cost += ColdCost;
+    if (wish.contendedRegions.count(node.place.region) != 0)
+        cost += ContendedCost * std::max(0.0, load / slots - ContendedFrom) / (1.0 - ContendedFrom);
     return cost + FailureCost * node.failures;
 }
 
@@ -92,7 +100,7 @@
     for (const auto &[name, node] : fleet.nodes()) {
         if (!isCandidate(name, node, wish))
             continue;
-        const double plain = cost(now, name, node, fleet, unknownService);
+        const double plain = cost(now, name, node, fleet, wish, unknownService);
         const double varied = plain * jitter(m_random);
         const bool isNear = node.place.region == m_region && plain <= limit;
         if (isNear && (!near.name || varied < near.cost))
--- a/src/libs/relay/placechooser.h
+++ b/src/libs/relay/placechooser.h
@@ -14,14 +14,18 @@
 {
     std::string service;
     std::set<std::string> allowedRegions; //!< empty: any
-    std::set<std::string> excluded;       //!< nodes that were tried
-    Base::Duration targetLeft{0};         //!< until an answer is late
+    /*! Where requests of the same service are bound to, while this one is free to go elsewhere. */
+    std::set<std::string> contendedRegions;
+    std::set<std::string> excluded; //!< nodes that were tried
+    Base::Duration targetLeft{0};   //!< until an answer is late
 };
 
 /*!
     Chooses the node that serves a request of a service without keys. Answers the load patterns
    "the caller's region is full" (others are used only if no node of the region would be in time),
-   "BackendServers of unlike speed" and "a BackendServer fails a part of its requests".
+   "BackendServers of unlike speed", "a BackendServer fails a part of its requests" and "requests
+   that are bound to some regions fill their BackendServers while those elsewhere are idle" (the
+   others make room there).
 */
 class PlaceChooser
 {
@@ -34,7 +38,7 @@
 private:
     /*! Expected latency in milliseconds, and more for what else speaks against the node. */
     double cost(Base::TimePoint now, const std::string &name, const NodeView &node,
-                const FleetView &fleet, double unknownService) const;
+                const FleetView &fleet, const PlaceWish &wish, double unknownService) const;
     static bool isCandidate(const std::string &name, const NodeView &node, const PlaceWish &wish);
 
     std::string m_region;
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -106,7 +106,7 @@
     if (!request.key) {
         return m_chooser.choose(now, m_fleet,
                                 {request.service, request.route.route.homeRegions,
-                                 exchange.excluded,
+                                 request.contendedRegions, exchange.excluded,
                                  request.received + request.route.targetLatency - now});
     }
     auto owner = m_hooks.owner(request.service, *request.key);
@@ -251,7 +251,9 @@
     const bool isMoving = answer.error == "key-not-held" || answer.error == "key-refused"
                           || answer.error == "other-service";
     const auto owner = m_hooks.owner(request.service, *request.key);
-    if (isMoving && owner && *owner != exchange->node)
+    // A BackendServer that declines a part of its requests may take the next one; no other holds
+    // the key. The share of repeats bounds this.
+    if (answer.error == "backend-declined" || (isMoving && owner && *owner != exchange->node))
         attempt(exchange);
     else if (isMoving && now + OwnerPause < request.deadline)
         pauseAndAttempt(exchange, OwnerPause);
--- a/src/libs/relay/requestrelay.h
+++ b/src/libs/relay/requestrelay.h
@@ -25,6 +25,8 @@
     Messages::ForwardRequest message; //!< without the fields that depend on the attempt
     Configuration::PathRoute route;
     std::string service; //!< the part of the route that serves it
+    /*! Regions to which other routes of the service are bound, if this one is not. */
+    std::set<std::string> contendedRegions;
     std::uint64_t configurationVersion = 0;
     std::optional<std::uint32_t> key;
     Base::TimePoint received;
--- a/tests/auto/gate/tst_backendgate.cpp
+++ b/tests/auto/gate/tst_backendgate.cpp
@@ -307,11 +307,53 @@
     EXPECT_EQ(gate.running(), 4U);
     gate.onFinished(Start, 1ms, false);
     gate.onFinished(Start, 1ms, false);
-    gate.onShed(Start);
+    gate.onShed(Start, std::nullopt);
     EXPECT_FALSE(gate.next(Start + 1ms));
     EXPECT_TRUE(gate.next(Start + 1s));
 }
 
+// Load pattern: a BackendServer with four slots declines every second request at once, full or not,
+// and gets eight requests in each service time. Sending less after each decline left three of its
+// slots idle.
+TEST(BackendGate, aBackendServerThatDeclinesWithSlotsFreeKeepsAllItsSlotsAtWork)
+{
+    constexpr auto Service = 100ms;
+    const auto served = [&](bool tellsLoad) {
+        BackendGate gate;
+        gate.setCondition(Start, ready(4));
+        std::vector<Base::TimePoint> ends;
+        int answered = 0;
+        int sent = 0;
+        for (auto now = Start; now < Start + 5s; now += 10ms) {
+            for (auto end = ends.begin(); end != ends.end();) {
+                if (*end > now) {
+                    ++end;
+                    continue;
+                }
+                gate.onFinished(now, Service, true);
+                ++answered;
+                end = ends.erase(end);
+            }
+            (void)gate.offer(now, request(0, 300ms, now));
+            while (gate.next(now)) {
+                if (++sent % 2 == 0) {
+                    ends.push_back(now + Service);
+                    continue;
+                }
+                const auto occupied = static_cast<std::uint32_t>(ends.size());
+                gate.onShed(now, tellsLoad ? std::optional<std::uint32_t>(occupied) : std::nullopt);
+                gate.onFinished(now, 1ms, false);
+            }
+            (void)gate.takeDeclined(now);
+        }
+        return answered;
+    };
+    const int full = served(true);
+    const int throttled = served(false);
+    EXPECT_GE(full, 190) << "of 200 that four slots serve in this time";
+    EXPECT_LT(throttled, full * 3 / 4) << "the previous rule";
+}
+
 // Load pattern: three times the capacity of six slots for ten seconds. A plain unbounded queue
 // serves everybody too late; the gate keeps all slots at work that is still wanted.
 TEST(BackendGate, overloadDoesNotMakeEveryoneLate)
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -53,7 +53,7 @@
 
     FleetView m_fleet;
     PlaceChooser m_chooser;
-    PlaceWish m_wish{"catalog", {}, {}, {}};
+    PlaceWish m_wish{"catalog", {}, {}, {}, {}};
 };
 
 } // namespace
@@ -79,6 +79,30 @@
     EXPECT_EQ(choices(m_wish)["far"], 100);
 }
 
+// Load pattern: requests with homes in the north keep its BackendServers at ten of twelve slots,
+// with queues, while those in the south run three. Calls without homes filled the north as well.
+TEST_F(PlaceChooserTest, requestsThatMayGoElsewhereMakeRoomForThoseThatMayNot)
+{
+    for (const char *name : {"near", "next"})
+        m_fleet.onLoad(Start, name, {5, 0, 50ms, 50ms});
+    m_wish.targetLeft = 250ms;
+    EXPECT_EQ(choices(m_wish).count("far"), 0U) << "nothing else needs the north";
+    m_wish.contendedRegions = {"north"};
+    EXPECT_GT(choices(m_wish)["far"], 50);
+    {
+        SCOPED_TRACE("while there is room for both, they stay");
+        for (const char *name : {"near", "next"})
+            m_fleet.onLoad(Start, name, {2, 0, 50ms, 50ms});
+        EXPECT_EQ(choices(m_wish).count("far"), 0U);
+    }
+    {
+        SCOPED_TRACE("requests that are bound to the north go nowhere else");
+        m_wish.allowedRegions = {"north"};
+        m_wish.contendedRegions.clear();
+        EXPECT_EQ(choices(m_wish).count("far"), 0U);
+    }
+}
+
 TEST_F(PlaceChooserTest, homeRegionsBindAlsoWhenTheyAreFull)
 {
     m_fleet.onLoad(Start, "far", {6, 60, 50ms, 50ms});
--- a/tests/auto/relay/tst_requestrelay.cpp
+++ b/tests/auto/relay/tst_requestrelay.cpp
@@ -230,6 +230,32 @@
     EXPECT_EQ(m_sent.back().node, "two");
 }
 
+// Load pattern: a BackendServer declines half of its requests at once. For a key there is no other,
+// so the request is offered there again, within the share of repeats.
+TEST_F(RequestRelayTest, aKeyedRequestThatItsBackendServerDeclinedIsOfferedAgain)
+{
+    begin(false, 500ms, 7);
+    answerLast(Outcome::NotRun, 0, "backend-declined");
+    ASSERT_EQ(m_sent.size(), 2U);
+    EXPECT_EQ(m_sent[1].node, "one");
+    answerLast(Outcome::Answered, 200);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->answer.status, 200);
+
+    SCOPED_TRACE("when all are declined, few are repeated and the refusals are true");
+    std::size_t offers = 0;
+    for (int i = 0; i < 100; ++i) {
+        const std::size_t before = m_sent.size();
+        m_result.reset();
+        begin(false, 500ms, 7);
+        while (!m_result)
+            answerLast(Outcome::NotRun, 0, "backend-declined");
+        EXPECT_EQ(m_result->answer.outcome, Outcome::NotRun);
+        offers += m_sent.size() - before;
+    }
+    EXPECT_LE(offers, 120U);
+}
+
 TEST_F(RequestRelayTest, aKeyWithoutAnOwnerIsRefusedAtOnce)
 {
     m_owner.reset();
