KeyRange: Pieces go to the least busy of equal targets, and more move at a time in a larger fleet

Ruled out: the bound of ranges of a node (216 to 910 rows for 34 nodes, 36 allowed each). Rows are found by bisection, since a round may now make over a hundred moves.

--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -101,15 +101,23 @@
     }
     std::vector<RangeRow>::const_iterator rowOf(const Range &range) const
     {
-        return std::find_if(rows.begin(), rows.end(),
-                            [&range](const RangeRow &row) { return row.range.contains(range); });
+        const auto after = std::upper_bound(
+            rows.begin(), rows.end(), range.first,
+            [](Key wanted, const RangeRow &row) { return wanted < row.range.first; });
+        const auto row = std::prev(after);
+        return row->range.contains(range) ? row : rows.end();
     }
-    /*! Pressure of the node that has more of it after \a busySlots moved. */
-    double pressureAfter(NodeState source, NodeState target, double busySlots) const
+    struct Pressures
+    {
+        double source = 0.0;
+        double target = 0.0;
+    };
+    /*! Of both nodes after \a busySlots moved. */
+    Pressures pressuresAfter(NodeState source, NodeState target, double busySlots) const
     {
         source.load -= busySlots;
         target.load += busySlots * target.node.slowness / std::max(0.1, source.node.slowness);
-        return std::max(source.pressure(speedWeight), target.pressure(speedWeight));
+        return {source.pressure(speedWeight), target.pressure(speedWeight)};
     }
     void setSuccessor(std::size_t index, const std::string &successor)
     {
@@ -239,7 +247,8 @@
 
 void RangePlanner::balance(Draft &draft) const
 {
-    while (draft.moves < m_settings.maxMoves && moveOne(draft))
+    const std::size_t maxMoves = m_settings.maxMovesPerNode * draft.nodes.size();
+    while (draft.moves < maxMoves && moveOne(draft))
         ++draft.moves;
 }
 
@@ -249,6 +258,16 @@
     Range piece;
     std::string target;
     double score = 0.0;
+    double targetPressure = 0.0; //!< after the move
+
+    /*! While the source stays the busier one, all targets relieve it alike. The least busy has to
+     * get the piece, or the first nodes by name would be filled before others get any. */
+    bool isBetterThan(const Move &other) const
+    {
+        constexpr double Equal = 1e-9;
+        return score > other.score + Equal
+               || (score > other.score - Equal && targetPressure < other.targetPressure);
+    }
 };
 
 bool RangePlanner::isSettling(const Range &range) const
@@ -316,11 +335,13 @@
             if (isTooBusyKey
                 && source.node.slowness < state.node.slowness * m_settings.worthwhileSpeedup)
                 continue;
-            const double relief = pressure - draft.pressureAfter(source, state, piece.busySlots);
+            const auto after = draft.pressuresAfter(source, state, piece.busySlots);
+            const double relief = pressure - std::max(after.source, after.target);
             // Keys that move are priced and may have to warm up, so load for each key counts.
             const double score = relief / (1.0 + piece.range.size() / KeysForHalfScore);
-            if (relief >= m_settings.minRelief && (!best || score > best->score))
-                best = Move{piece.range, id, score};
+            const Move move{piece.range, id, score, after.target};
+            if (relief >= m_settings.minRelief && (!best || move.isBetterThan(*best)))
+                best = move;
         }
     }
     return best;
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -25,8 +25,9 @@
 {
     /*! Ranges of a node in the first table. Interleaved, since busy keys are neighbours. */
     std::size_t firstRangesPerNode = 8;
-    /*! Ranges that may be on the move at the same time, so that few keys wait. */
-    std::size_t maxMoves = 24;
+    /*! Ranges that may be on the move at the same time for each node of the service, so that few
+     * keys wait. */
+    std::size_t maxMovesPerNode = 4;
     /*! More ranges would make the answer to a heartbeat too long. */
     std::size_t maxRangesPerNode = 36;
     /*! Nodes are balanced while the busiest exceeds the mean by this share ... */
--- a/tests/auto/keyrange/tst_rangeplanner.cpp
+++ b/tests/auto/keyrange/tst_rangeplanner.cpp
@@ -276,6 +276,35 @@
     RecordProperty("moved_keys", static_cast<int>(movedKeys));
 }
 
+// Load pattern: one node of forty has four times its slots in demand, in many small pieces, and the
+// others are idle alike. Pieces went to the first nodes by name until those were as busy as their
+// source, and only 24 of them at a time in the whole fleet.
+TEST(RangePlanner, aBusyNodeIsRelievedByAllOthersAlike)
+{
+    constexpr std::size_t Nodes = 40;
+    constexpr std::uint32_t Pieces = 100;
+    std::vector<RangeNode> fleet = nodes(Nodes);
+    RangePlanner planner;
+    const RangeTable table = *planner.firstTable(fleet);
+    const Range hot = table.rows().front().range;
+    const std::string &busy = table.rows().front().owner;
+    std::vector<RangeLoad> loads;
+    for (std::uint32_t i = 0; i < Pieces; ++i)
+        loads.push_back({{hot.first + i, hot.first + i}, 4 * Slots / Pieces});
+    const auto plan = planner.plan(Start, table, fleet, loads);
+    ASSERT_TRUE(plan);
+    std::map<std::string, double> demand;
+    for (const RangeLoad &load : loads) {
+        const RangeRow &row = plan->row(load.range.first);
+        demand[row.successor.empty() ? row.owner : row.successor] += load.busySlots;
+    }
+    EXPECT_LT(demand[busy], Slots) << "within one round";
+    demand.erase(busy);
+    EXPECT_GT(demand.size(), Nodes / 2);
+    for (const auto &[id, load] : demand)
+        EXPECT_LT(load, Slots / 4) << id;
+}
+
 TEST(RangeLoadMeter, rangesAreDividedWhereTheLoadIs)
 {
     RangeLoadMeter meter;
