Relay: A declined request is refused while it is certain that it has not run

Cause: a declined request was offered a last time with 20 to 90 ms left; its time was over before the answer came, and it was answered 504, which promises nothing, though no server had seen it. A non-idempotent request could not be sent again after that. Now it is refused, truthfully, when less than a fifth of its target latency is left.

--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -30,6 +30,10 @@
 constexpr milliseconds ResponseWay{10};
 // One way of a message, subtracted from the time left that the receiver is told.
 constexpr milliseconds RegionWay{22};
+// A request that was declined is offered again only with this share of its target latency left.
+// With less it would still be on its way or waiting when its time is over, and its caller could not
+// be told that it has not run.
+constexpr double MinOfferShare = 0.2;
 constexpr milliseconds ZoneWay{2};
 
 milliseconds toMilliseconds(Base::Duration duration)
@@ -227,6 +231,13 @@
     finish(exchange, {exchange->failure.value_or(last), milliseconds(0), false});
 }
 
+bool RequestRelay::hasTimeForOffer(const CallerRequest &request, Base::TimePoint at)
+{
+    const auto share = std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, std::milli>(request.route.targetLatency) * MinOfferShare);
+    return at + share + ResponseWay < request.deadline;
+}
+
 void RequestRelay::onNotRun(const ExchangePtr &exchange, const ForwardResponse &answer)
 {
     const CallerRequest &request = exchange->request;
@@ -235,7 +246,7 @@
     log(*exchange, "declined", answer.error, "not-run");
     // A request that reached the BackendServer counts as a repeat when it is sent to another one.
     const bool isArrival = answer.error == "backend-declined" || answer.error == "key-refused";
-    if (exchange->offers >= MaxOffers || now >= request.deadline
+    if (exchange->offers >= MaxOffers || !hasTimeForOffer(request, now)
         || (isArrival && !budget(request.service).tryTake())) {
         refuse(exchange, exchange->hint, answer.error);
         return;
@@ -255,7 +266,7 @@
     // the key. The share of repeats bounds this.
     if (answer.error == "backend-declined" || (isMoving && owner && *owner != exchange->node))
         attempt(exchange);
-    else if (isMoving && now + OwnerPause < request.deadline)
+    else if (isMoving && hasTimeForOffer(request, now + OwnerPause))
         pauseAndAttempt(exchange, OwnerPause);
     else
         refuse(exchange, std::max(exchange->hint, MinRetryAfter), answer.error);
--- a/src/libs/relay/requestrelay.h
+++ b/src/libs/relay/requestrelay.h
@@ -89,6 +89,7 @@
     void sendTo(const ExchangePtr &exchange, const std::string &node);
     void onAnswer(const ExchangePtr &exchange, Messages::ForwardResponse answer);
     void onNotRun(const ExchangePtr &exchange, const Messages::ForwardResponse &answer);
+    static bool hasTimeForOffer(const CallerRequest &request, Base::TimePoint at);
     bool mayRunAgain(const Exchange &exchange);
     void pauseAndAttempt(const ExchangePtr &exchange, Base::Duration pause);
     void refuse(const ExchangePtr &exchange, std::chrono::milliseconds retryAfter,
--- a/tests/auto/relay/tst_requestrelay.cpp
+++ b/tests/auto/relay/tst_requestrelay.cpp
@@ -256,6 +256,30 @@
     EXPECT_LE(offers, 120U);
 }
 
+// Load pattern: many keys move at once, and their owners do not know them for a second. 1,764
+// requests were offered a last time with 20 to 90 ms left and answered as unknown, though none had
+// run.
+TEST_F(RequestRelayTest, aDeclinedRequestIsRefusedWhileThatIsCertain)
+{
+    constexpr auto Deadline = 100ms;
+    begin(false, Deadline, 7);
+    m_result.reset();
+    while (!m_result) {
+        const auto left = m_sent.back().request.deadlineLeft;
+        if (m_sent.size() > 1) {
+            EXPECT_GT(left, 5ms) << "a fifth of the target latency of 100 ms, less the ways";
+        }
+        const std::size_t before = m_sent.size();
+        runFor(15ms);
+        if (!m_result)
+            answerLast(Outcome::NotRun, 0, "key-not-held");
+        for (int i = 0; i < 20 && !m_result && m_sent.size() == before; ++i)
+            runFor(5ms);
+    }
+    EXPECT_EQ(m_result->answer.outcome, Outcome::NotRun);
+    EXPECT_FALSE(m_result->isPastDeadline);
+}
+
 TEST_F(RequestRelayTest, aKeyWithoutAnOwnerIsRefusedAtOnce)
 {
     m_owner.reset();
