--- a/tests/auto/relay/tst_objectinquiry.cpp
+++ b/tests/auto/relay/tst_objectinquiry.cpp
@@ -14,9 +14,9 @@
 
 std::vector<std::string> peers(int count)
 {
-    std::vector<std::string> result;
+    std::vector<std::string> result(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
-        result.push_back("node-" + std::to_string(i));
+        result[static_cast<std::size_t>(i)] = "node-" + std::to_string(i);
     return result;
 }
 
