KeyRange: A read proves ownership also when a later version of the table is known by then

A proof counted only if the read returned the very version that the daemon knew, or a later one. While ranges move, the table changes fifteen times a second and peers tell of it at once, so each answer was older than what was known by then. No proof counted for ten seconds, and all authority ended. Ruled out: the store (no store-lost) and the shared reads (they were answered). A later version that is known was written after the read began, so it shows as much. A version that is not known shows nothing about the rows that are; that it was accepted is closed as well. Tests: readsProveOwnershipWhileTheTableChangesAllTheTime fails without the change.

--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -53,7 +53,10 @@
 
 void RangeKeeper::onConfirmed(Base::TimePoint sentAt, TableVersion version)
 {
-    if (version >= m_version && (!m_confirmedAt || *m_confirmedAt < sentAt))
+    // A later version that is known was written after the read, so it proves as much. Rows of one
+    // that is not known may have successors.
+    const bool isKnown = version <= m_version || !m_rules.confirmsKnownVersionsOnly;
+    if (isKnown && (!m_confirmedAt || *m_confirmedAt < sentAt))
         m_confirmedAt = sentAt;
 }
 
--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -39,11 +39,12 @@
 /*! The safety rules, each of which a test may break to show that it is needed. */
 struct KeeperRules
 {
-    bool waitsBeforeTakeover = true;     //!< until the owner's authority and holds have ended
-    bool limitsHoldsByAuthority = true;  //!< no hold outlasts the proof of ownership
-    bool waitsForRelease = true;         //!< a range moves when its holder no longer reports it
-    bool raisesEpochAfterRestart = true; //!< another life never gets the tokens of a former one
-    bool keepsOwnRestartsApart = true;   //!< a new process waits for what the former one granted
+    bool waitsBeforeTakeover = true;       //!< until the owner's authority and holds have ended
+    bool limitsHoldsByAuthority = true;    //!< no hold outlasts the proof of ownership
+    bool waitsForRelease = true;           //!< a range moves when its holder no longer reports it
+    bool raisesEpochAfterRestart = true;   //!< another life never gets the tokens of a former one
+    bool keepsOwnRestartsApart = true;     //!< a new process waits for what the former one granted
+    bool confirmsKnownVersionsOnly = true; //!< a read proves nothing about rows that are not known
     /*! Of RangeChanges: only rows that nobody changed since are changed. */
     bool checksRowsOfChanges = true;
 };
@@ -102,7 +103,8 @@
     /*! The store's table is known, through a read, a watch or a peer. Older versions are ignored.
      */
     void onTable(Base::TimePoint now, TableVersion version, const RangeTable &table);
-    /*! A read of the store that began at \a sentAt returned the known version. */
+    /*! A read of the store that began at \a sentAt returned \a version. While the table changes all
+     * the time, the known version is often later than that. */
     void onConfirmed(Base::TimePoint sentAt, TableVersion version);
     /*! Returns what to grant, or nothing when nothing may be renewed. */
     std::optional<HoldGrant> onHeartbeat(Base::TimePoint now, const HeldReport &report);
--- a/tests/auto/keyrange/rangecluster.cpp
+++ b/tests/auto/keyrange/rangecluster.cpp
@@ -133,7 +133,10 @@
 void RangeCluster::disturb()
 {
     FakeRangeNode &node = m_nodes[m_random() % m_nodes.size()];
-    switch (m_random() % 8) {
+    switch (m_random() % 9) {
+    case 8:
+        node.deafUntil = m_now + between(1s, 30s);
+        break;
     case 0: // the daemon restarts beside a living BackendServer
         node.keeper.reset();
         node.downUntil = m_now + between(100ms, 6s);
@@ -267,6 +270,7 @@
     node.holder.expire(m_now);
     if (!node.keeper && m_now >= node.downUntil) {
         node.keeper = makeKeeper(node.name);
+        node.read.reset();
         node.nextConfirm = m_now;
     }
     if (!node.keeper || m_now < node.suspendedUntil)
@@ -274,11 +278,25 @@
     const bool reachesStore = m_now >= node.cutUntil && m_now >= m_storeDownUntil;
     if (reachesStore && m_now >= node.nextConfirm) {
         node.nextConfirm = m_now + 2500ms;
-        node.keeper->onTable(m_now, m_store.version, m_store.table);
-        node.keeper->onConfirmed(m_now, m_store.version);
-    } else if (reachesStore && chance(0.1)) {
+        if (node.mustReadTable || (m_now >= node.deafUntil && chance(0.5))) {
+            node.mustReadTable = false;
+            node.keeper->onTable(m_now, m_store.version, m_store.table);
+            node.keeper->onConfirmed(m_now, m_store.version);
+        } else {
+            // The version alone, through another node.
+            node.read = {m_now, m_now + between(0ms, 2s), m_store.version};
+        }
+    } else if (reachesStore && m_now >= node.deafUntil && chance(0.1)) {
         node.keeper->onTable(m_now, m_store.version, m_store.table); // a watch
     }
+    if (node.read && m_now >= node.read->answeredAt) {
+        if (node.read->version > node.keeper->version() && m_rules.confirmsKnownVersionsOnly) {
+            node.mustReadTable = true;
+            node.nextConfirm = m_now;
+        }
+        node.keeper->onConfirmed(node.read->sentAt, node.read->version);
+        node.read.reset();
+    }
     beat(node);
     if (reachesStore)
         writeWanted(node);
--- a/tests/auto/keyrange/rangecluster.h
+++ b/tests/auto/keyrange/rangecluster.h
@@ -67,6 +67,16 @@
     Base::TimePoint suspendedUntil; //!< the daemon does nothing, while its clock goes on
     Base::TimePoint cutUntil;       //!< from the store
     Base::TimePoint nextConfirm;
+    /*! A read whose answer is on its way. */
+    struct Read
+    {
+        Base::TimePoint sentAt;
+        Base::TimePoint answeredAt;
+        TableVersion version = 0;
+    };
+    std::optional<Read> read;
+    bool mustReadTable = false; //!< a read showed a version that the daemon does not know
+    Base::TimePoint deafUntil;  //!< its watch hears nothing
     Base::TimePoint nextWrite;
 };
 
--- a/tests/auto/keyrange/tst_rangekeeper.cpp
+++ b/tests/auto/keyrange/tst_rangekeeper.cpp
@@ -86,6 +86,30 @@
     }
 }
 
+// Load pattern: many ranges move, so that the table changes fifteen times a second and each answer
+// to a read is older than the version that is known by then. No proof counted, and after ten
+// seconds all keys of the service were unserved.
+TEST_F(RangeKeeperTest, readsProveOwnershipWhileTheTableChangesAllTheTime)
+{
+    const RangeTable table = *m_keeper.table();
+    const TableVersion first = m_keeper.version();
+    for (int second = 1; second <= 30; ++second) {
+        const Base::TimePoint now = Start + std::chrono::seconds(second);
+        const TableVersion before = m_keeper.version();
+        m_keeper.onTable(now, before + 1, table);
+        m_keeper.onConfirmed(now - 100ms, before);
+        const auto grant = m_keeper.onHeartbeat(now, report(static_cast<std::uint64_t>(second)));
+        ASSERT_TRUE(grant) << "second " << second;
+        EXPECT_EQ(grant->hold, 4s);
+    }
+    {
+        SCOPED_TRACE("a version that is not known proves nothing about the known rows");
+        const Base::TimePoint end = m_keeper.authorityEnd();
+        m_keeper.onConfirmed(Start + 60s, first + 100);
+        EXPECT_EQ(m_keeper.authorityEnd(), end);
+    }
+}
+
 TEST_F(RangeKeeperTest, aMovingRangeIsHandedOverOnlyWhenItsHolderNoLongerReportsIt)
 {
     const auto first = m_keeper.onHeartbeat(Start + 1s, report(1));
