Peer: One loop for deflating and inflating, and one flush for each frame

Read again at the end: the loops over a zlib stream in FrameDeflater and FrameInflater were the same but for one call, so both use appendOutput() now. pack() told its last part by comparing addresses, which are equal when a frame has no body: such a frame was flushed twice. The format and all bounds are as before.

--- a/src/libs/peer/framecompression.cpp
+++ b/src/libs/peer/framecompression.cpp
@@ -43,6 +43,25 @@
     return reinterpret_cast<Bytef *>(const_cast<char *>(text));
 }
 
+/*! Feeds \a part to \a step, which deflates or inflates, and appends all output to \a result.
+    Returns false as soon as \a step does. */
+template<typename Step>
+bool appendOutput(z_stream &stream, std::string_view part, std::string &result, const Step &step)
+{
+    stream.next_in = toBytes(part.data());
+    stream.avail_in = static_cast<uInt>(part.size());
+    do {
+        std::array<Bytef, ChunkBytes> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init)
+        stream.next_out = chunk.data();
+        stream.avail_out = static_cast<uInt>(chunk.size());
+        if (!step())
+            return false;
+        result.append(reinterpret_cast<const char *>(chunk.data()),
+                      chunk.size() - stream.avail_out);
+    } while (stream.avail_out == 0);
+    return true;
+}
+
 class ZlibDeflater : public FrameDeflater
 {
 public:
@@ -66,13 +85,10 @@
                                                 Messages::ByteRange plain) override
     {
         std::string result(PrefixBytes, '\0');
-        const std::string_view behind = frame.substr(plain.offset + plain.length);
-        for (const std::string_view part : {frame.substr(0, plain.offset), behind}) {
-            // Only the end of the last part is flushed.
-            const bool isLast = part.data() == behind.data();
-            if (!deflatePart(part, isLast ? Z_SYNC_FLUSH : Z_NO_FLUSH, result))
-                return tl::unexpected(std::string("frame cannot be compressed"));
-        }
+        // Only the end of the last part is flushed.
+        if (!deflatePart(frame.substr(0, plain.offset), Z_NO_FLUSH, result)
+            || !deflatePart(frame.substr(plain.offset + plain.length), Z_SYNC_FLUSH, result))
+            return tl::unexpected(std::string("frame cannot be compressed"));
         if (result.size() < PrefixBytes + FlushMark.size())
             return tl::unexpected(std::string("frame is empty"));
         result.resize(result.size() - FlushMark.size());
@@ -85,18 +101,8 @@
 private:
     bool deflatePart(std::string_view part, int flush, std::string &result)
     {
-        m_stream.next_in = toBytes(part.data());
-        m_stream.avail_in = static_cast<uInt>(part.size());
-        do {
-            std::array<Bytef, ChunkBytes> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init)
-            m_stream.next_out = chunk.data();
-            m_stream.avail_out = static_cast<uInt>(chunk.size());
-            if (deflate(&m_stream, flush) == Z_STREAM_ERROR)
-                return false;
-            result.append(reinterpret_cast<const char *>(chunk.data()),
-                          chunk.size() - m_stream.avail_out);
-        } while (m_stream.avail_out == 0);
-        return true;
+        return appendOutput(m_stream, part, result,
+                            [&] { return deflate(&m_stream, flush) != Z_STREAM_ERROR; });
     }
 
     z_stream m_stream{};
@@ -144,20 +150,16 @@
     tl::expected<void, std::string> inflatePart(std::string_view part, std::size_t maxBytes,
                                                 std::string &result)
     {
-        m_stream.next_in = toBytes(part.data());
-        m_stream.avail_in = static_cast<uInt>(part.size());
-        do {
-            std::array<Bytef, ChunkBytes> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init)
-            m_stream.next_out = chunk.data();
-            m_stream.avail_out = static_cast<uInt>(chunk.size());
-            const int code = ::inflate(&m_stream, Z_SYNC_FLUSH);
-            if (code != Z_OK && code != Z_BUF_ERROR)
-                return tl::unexpected(std::string("compressed frame is damaged"));
-            result.append(reinterpret_cast<const char *>(chunk.data()),
-                          chunk.size() - m_stream.avail_out);
+        const bool isSound = appendOutput(m_stream, part, result, [&] {
             if (result.size() > maxBytes)
-                return tl::unexpected(std::string("compressed frame is too long"));
-        } while (m_stream.avail_out == 0);
+                return false;
+            const int code = ::inflate(&m_stream, Z_SYNC_FLUSH);
+            return code == Z_OK || code == Z_BUF_ERROR;
+        });
+        if (result.size() > maxBytes)
+            return tl::unexpected(std::string("compressed frame is too long"));
+        if (!isSound)
+            return tl::unexpected(std::string("compressed frame is damaged"));
         return {};
     }
 
