Gate: Estimate service times by route

Cause: BackendGate kept one smoothed service time over all routes. The probes of the platform, which take 1 ms, lower the mean in the same way.

Change: ServiceTimes keeps the long-term mean of each route and one slowdown of the BackendServer that all routes share. The expected wait is the work of the requests that run and wait ahead, divided by the slots. A route without answers starts from a share of its target latency. The limit on starts of a cold BackendServer is part of the expected wait also while slots are free. The load of a key is measured with the service time of its route.

Tests: four new ones; three failed with the common mean in place of the estimate by route, the fourth (cold start limit) could not be compiled against the former interface. onFinished() now names the request, so the tests of the gate pass its ticket; what they check is unchanged.

--- a/src/libs/gate/backendgate.cpp
+++ b/src/libs/gate/backendgate.cpp
@@ -1,39 +1,35 @@
 #include "backendgate.h"
 
+#include "base/scaledduration.h"
+
 #include <algorithm>
 #include <tuple>
 
 namespace Medlar::Gate {
 
+using Base::scaled;
+
 namespace {
 
-// Weight of the latest request in the moving average of the service time.
-constexpr double SmoothingFactor = 0.05;
-// Number of requests in the long-term mean by which BackendServers are compared.
-constexpr std::uint32_t UsualServiceTimeSamples = 250;
 // Requests started on a cold BackendServer are counted over this window.
 constexpr std::chrono::seconds ColdRateWindow{1};
 // After a full BackendServer declined a request, the number of concurrent requests is limited for
 // this long to the number that was running then.
 constexpr std::chrono::milliseconds ThrottleTime{300};
-// A request is started only if this fraction of the mean service time is left until its deadline.
+// A request is started only if this fraction of its expected service time is left until its
+// deadline.
 constexpr double MinTimeLeftFraction = 0.8;
 // Maximum number of waiting requests per slot. In a longer queue, requests would be served late
 // even if their deadlines allowed for the wait.
 constexpr std::size_t MaxWaitingPerSlot = 12;
-// A request that will miss its target is accepted if its wait is below this fraction of the mean
-// service time. This keeps all slots busy without making the requests behind it late as well.
+// A request that will miss its target is accepted if its wait is below this fraction of its
+// expected service time. This keeps all slots busy without making the requests behind it late as
+// well.
 constexpr double MaxLateWaitFraction = 0.5;
 // Maximum number of waiting requests per slot for a single key. Otherwise a key with more demand
 // than slots would fill the queue and leave no room for other keys.
 constexpr double MaxWaitingPerKeyPerSlot = 0.5;
 
-Base::Duration scaled(Base::Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Base::Duration>(
-        std::chrono::duration<double, Base::Duration::period>(duration) * factor);
-}
-
 } // namespace
 
 std::string_view toString(DeclineReason reason)
@@ -103,23 +99,53 @@
         m_recentStarts.pop_front();
 }
 
-// Mean time between two request starts.
-Base::Duration BackendGate::startInterval(Base::TimePoint now) const
+Base::Duration BackendGate::expectedTime(const GateRequest &request) const
+{
+    return m_serviceTimes.expected(request.route);
+}
+
+Base::Duration BackendGate::meanRunningTime() const
 {
-    const Base::Duration slotInterval
-        = m_serviceTime / std::max<std::uint32_t>(1, concurrencyLimit(now));
+    if (m_running.empty())
+        return m_serviceTimes.recentMean();
+    Base::Duration sum{0};
+    for (const auto &[ticket, route] : m_running)
+        sum += m_serviceTimes.expected(route);
+    return sum / static_cast<Base::Duration::rep>(m_running.size());
+}
+
+// Expected wait of a request behind \a ahead others in the queue, which take \a workAhead in all.
+Base::Duration BackendGate::expectedWait(Base::TimePoint now, std::size_t ahead,
+                                         Base::Duration workAhead) const
+{
+    const std::size_t limit = std::max<std::uint32_t>(1, concurrencyLimit(now));
+    const std::size_t free = running() < limit ? limit - running() : 0;
+    Base::Duration wait{0};
+    if (ahead >= free)
+        wait = (workAhead + meanRunningTime()) / static_cast<Base::Duration::rep>(limit);
     if (!m_condition.isCold)
-        return slotInterval;
-    return std::max<Base::Duration>(slotInterval,
-                                    Base::Duration(ColdRateWindow) / coldRequestLimit());
+        return wait;
+    const auto recentStarts = static_cast<std::size_t>(
+        std::count_if(m_recentStarts.begin(), m_recentStarts.end(),
+                      [now](Base::TimePoint start) { return start + ColdRateWindow > now; }));
+    const std::size_t startsLeft
+        = coldRequestLimit() - std::min<std::size_t>(coldRequestLimit(), recentStarts);
+    if (ahead < startsLeft)
+        return wait;
+    const Base::Duration startInterval = Base::Duration(ColdRateWindow) / coldRequestLimit();
+    return std::max<Base::Duration>(
+        wait, startInterval * static_cast<Base::Duration::rep>(ahead + 1 - startsLeft));
 }
 
-Base::Duration BackendGate::expectedWait(Base::TimePoint now, std::size_t ahead) const
+Base::Duration BackendGate::expectedWait(Base::TimePoint now, Queue::const_iterator position) const
 {
-    const std::size_t free
-        = m_running < concurrencyLimit(now) ? concurrencyLimit(now) - m_running : 0;
-    return ahead < free ? Base::Duration::zero()
-                        : startInterval(now) * static_cast<Base::Duration::rep>(ahead + 1 - free);
+    std::size_t ahead = 0;
+    Base::Duration workAhead{0};
+    for (auto entry = m_queue.begin(); entry != position; ++entry) {
+        ++ahead;
+        workAhead += expectedTime(entry->second);
+    }
+    return expectedWait(now, ahead, workAhead);
 }
 
 // Returns nothing if the request may be queued, otherwise its expected wait.
@@ -127,12 +153,12 @@
                                                          const QueuePosition &position,
                                                          const GateRequest &request) const
 {
-    const auto ahead = std::distance(m_queue.begin(), m_queue.lower_bound(position));
-    const Base::Duration wait = expectedWait(now, static_cast<std::size_t>(ahead));
+    const Base::Duration wait = expectedWait(now, m_queue.lower_bound(position));
     if (wait == Base::Duration::zero())
         return std::nullopt;
-    const Base::TimePoint end = now + wait + m_serviceTime;
-    const bool isLate = end > request.target && wait > scaled(m_serviceTime, MaxLateWaitFraction);
+    const Base::Duration serviceTime = expectedTime(request);
+    const Base::TimePoint end = now + wait + serviceTime;
+    const bool isLate = end > request.target && wait > scaled(serviceTime, MaxLateWaitFraction);
     if (end > request.deadline || isLate)
         return wait;
     const auto waitingForKey
@@ -147,6 +173,7 @@
 {
     if (const auto reason = declineReason())
         return tl::unexpected(Decline{*reason, Base::Duration::zero()});
+    m_serviceTimes.prepare(request.route, request.target - now);
     const QueuePosition position{request.priority, request.target <= now, request.deadline,
                                  ++m_lastTicket};
     if (const auto wait = excessiveWait(now, position, request))
@@ -156,9 +183,9 @@
         const auto last = std::prev(m_queue.end());
         if (!(position < last->first))
             return tl::unexpected(
-                Decline{DeclineReason::Overloaded, expectedWait(now, m_queue.size())});
+                Decline{DeclineReason::Overloaded, expectedWait(now, m_queue.cend())});
         m_declined.emplace_back(last->first.ticket,
-                                Decline{DeclineReason::Overloaded, startInterval(now)});
+                                Decline{DeclineReason::Overloaded, expectedWait(now, last)});
         dequeue(last);
     }
     enqueue(position, request);
@@ -172,7 +199,7 @@
         ++m_waitingByKey[*request.key];
 }
 
-void BackendGate::dequeue(std::map<QueuePosition, GateRequest>::iterator entry)
+void BackendGate::dequeue(Queue::iterator entry)
 {
     if (const auto key = entry->second.key) {
         const auto waitingForKey = m_waitingByKey.find(*key);
@@ -188,7 +215,8 @@
 {
     std::vector<std::pair<QueuePosition, GateRequest>> late;
     for (auto entry = m_queue.begin(); entry != m_queue.end();) {
-        const bool isLate = !entry->first.isLate && entry->second.target < now + m_serviceTime;
+        const bool isLate
+            = !entry->first.isLate && entry->second.target < now + expectedTime(entry->second);
         if (!isLate) {
             ++entry;
             continue;
@@ -205,7 +233,7 @@
 std::optional<Ticket> BackendGate::next(Base::TimePoint now)
 {
     removeOldStarts(now);
-    if (m_queue.empty() || m_running >= concurrencyLimit(now))
+    if (m_queue.empty() || running() >= concurrencyLimit(now))
         return std::nullopt;
     if (m_condition.isCold && m_recentStarts.size() >= coldRequestLimit())
         return std::nullopt;
@@ -213,14 +241,16 @@
     while (!m_queue.empty()) {
         const auto first = m_queue.begin();
         const Ticket ticket = first->first.ticket;
+        const Base::Duration serviceTime = expectedTime(first->second);
         const bool hasTime
-            = now + scaled(m_serviceTime, MinTimeLeftFraction) <= first->second.deadline;
+            = now + scaled(serviceTime, MinTimeLeftFraction) <= first->second.deadline;
+        std::string route = std::move(first->second.route);
         dequeue(first);
         if (!hasTime) {
-            m_declined.emplace_back(ticket, Decline{DeclineReason::Expired, m_serviceTime});
+            m_declined.emplace_back(ticket, Decline{DeclineReason::Expired, serviceTime});
             continue;
         }
-        ++m_running;
+        m_running.emplace(ticket, std::move(route));
         m_recentStarts.push_back(now);
         return ticket;
     }
@@ -233,19 +263,22 @@
 {
     moveLateRequestsBack(now);
     std::size_t ahead = 0;
+    Base::Duration workAhead{0};
     for (auto entry = m_queue.begin(); entry != m_queue.end();) {
-        const Base::Duration wait = expectedWait(now, ahead);
+        const Base::Duration wait = expectedWait(now, ahead, workAhead);
+        const Base::Duration serviceTime = expectedTime(entry->second);
         const bool hasTime
-            = now + wait + scaled(m_serviceTime, MinTimeLeftFraction) <= entry->second.deadline;
+            = now + wait + scaled(serviceTime, MinTimeLeftFraction) <= entry->second.deadline;
         const bool isOvertaken
-            = entry->first.isLate && wait > scaled(m_serviceTime, MaxLateWaitFraction);
+            = entry->first.isLate && wait > scaled(serviceTime, MaxLateWaitFraction);
         if (hasTime && !isOvertaken) {
             ++ahead;
+            workAhead += serviceTime;
             ++entry;
             continue;
         }
         m_declined.emplace_back(entry->first.ticket,
-                                Decline{DeclineReason::Expired, wait + m_serviceTime});
+                                Decline{DeclineReason::Expired, wait + serviceTime});
         dequeue(entry++);
     }
     return std::exchange(m_declined, {});
@@ -262,14 +295,14 @@
     return true;
 }
 
-void BackendGate::onFinished(Base::TimePoint /*now*/, Base::Duration elapsed, bool wasAnswered)
+void BackendGate::onFinished(Ticket ticket, Base::Duration elapsed, bool wasAnswered)
 {
-    m_running -= m_running > 0 ? 1 : 0;
-    if (!wasAnswered)
+    const auto found = m_running.find(ticket);
+    if (found == m_running.end())
         return;
-    m_serviceTime += scaled(elapsed - m_serviceTime, SmoothingFactor);
-    m_serviceTimeSamples = std::min(m_serviceTimeSamples + 1, UsualServiceTimeSamples);
-    m_usualServiceTime += scaled(elapsed - m_usualServiceTime, 1.0 / m_serviceTimeSamples);
+    if (wasAnswered)
+        m_serviceTimes.add(found->second, elapsed);
+    m_running.erase(found);
 }
 
 void BackendGate::onBackendDeclined(Base::TimePoint now, std::optional<std::uint32_t> reportedLoad)
@@ -279,7 +312,7 @@
     if (reportedLoad && *reportedLoad < m_condition.slots)
         return;
     m_throttledUntil = now + ThrottleTime;
-    m_throttledLimit = std::max<std::uint32_t>(1, m_running);
+    m_throttledLimit = std::max<std::uint32_t>(1, running());
 }
 
 std::optional<Base::TimePoint> BackendGate::nextPollTime(Base::TimePoint now) const
@@ -289,8 +322,8 @@
     Base::TimePoint pollTime = now + std::chrono::milliseconds(50);
     // Requests that cannot be served in time are declined while a retry is still possible.
     for (const auto &[position, request] : m_queue)
-        pollTime
-            = std::min(pollTime, request.deadline - scaled(m_serviceTime, MinTimeLeftFraction));
+        pollTime = std::min(pollTime,
+                            request.deadline - scaled(expectedTime(request), MinTimeLeftFraction));
     if (m_condition.isCold && !m_recentStarts.empty())
         pollTime = std::min<Base::TimePoint>(pollTime, m_recentStarts.front() + ColdRateWindow);
     return std::max(pollTime, now + std::chrono::milliseconds(1));
--- a/src/libs/gate/backendgate.h
+++ b/src/libs/gate/backendgate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "servicetimes.h"
 
 #include <tl/expected.hpp>
 
@@ -8,7 +9,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -40,6 +43,7 @@
     Base::TimePoint target; //!< a later response is late, but still useful
     Base::TimePoint deadline;
     std::optional<std::uint32_t> key; //!< set if only this BackendServer may serve it
+    std::string route;                //!< requests of a route have similar service times
 };
 
 /*! Last known state of the BackendServer. */
@@ -62,6 +66,8 @@
       them would make all accepted requests slightly late. Urgent requests go first.
     - More requests for one key than slots: the number of waiting requests per key is limited, so
       that the queue has room for other keys.
+    - Short and long requests for one BackendServer: the expected wait is the work of the requests
+      that run and wait ahead, and each request needs the time that is usual on its route.
     - A cold BackendServer: the number of requests started per second is limited.
     - A BackendServer that declines some requests although it has free slots: it is not throttled,
       so that its slots stay in use.
@@ -83,7 +89,7 @@
     /*! Removes a request that its caller cancelled. Returns whether it was still waiting. */
     bool cancel(Ticket ticket);
     /*! Frees the slot of a request that next() returned and that took \a elapsed. */
-    void onFinished(Base::TimePoint now, Base::Duration elapsed, bool wasAnswered);
+    void onFinished(Ticket ticket, Base::Duration elapsed, bool wasAnswered);
     /*! Called when the BackendServer declined a request. \a reportedLoad is the number of running
        and waiting requests that it reported. Unless this shows free slots, fewer requests are sent
        to it for a short time. */
@@ -92,15 +98,12 @@
     // Queries
 
     const BackendCondition &condition() const { return m_condition; }
-    std::uint32_t running() const { return m_running; }
+    std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
-    /*! Exponential moving average over recent requests. */
-    Base::Duration serviceTime() const { return m_serviceTime; }
-    /*! Whether enough requests were answered for the mean service times to be meaningful. */
-    bool isServiceTimeKnown() const { return m_serviceTimeSamples >= MinServiceTimeSamples; }
-    /*! Mean over a longer time, used to compare BackendServers. The recent mean is unsuitable,
-       since other processes on the same machine slow a BackendServer down for short periods. */
-    Base::Duration usualServiceTime() const { return m_usualServiceTime; }
+    /*! The means over all routes are used to compare BackendServers; the recent mean is unsuitable
+       for lasting decisions, since other processes on the same machine slow a BackendServer down
+       for short periods. */
+    const ServiceTimes &serviceTimes() const { return m_serviceTimes; }
     /*! When to call next() and takeDeclined() if no other event occurs before; empty if no request
        is waiting. */
     std::optional<Base::TimePoint> nextPollTime(Base::TimePoint now) const;
@@ -115,30 +118,31 @@
     };
     friend bool operator<(const QueuePosition &a, const QueuePosition &b);
 
-    static constexpr std::uint32_t MinServiceTimeSamples = 20;
+    using Queue = std::map<QueuePosition, GateRequest>;
 
     std::optional<DeclineReason> declineReason() const;
     std::uint32_t concurrencyLimit(Base::TimePoint now) const;
     std::uint32_t coldRequestLimit() const;
     void removeOldStarts(Base::TimePoint now);
-    Base::Duration startInterval(Base::TimePoint now) const;
-    Base::Duration expectedWait(Base::TimePoint now, std::size_t ahead) const;
+    Base::Duration expectedTime(const GateRequest &request) const;
+    Base::Duration meanRunningTime() const;
+    Base::Duration expectedWait(Base::TimePoint now, std::size_t ahead,
+                                Base::Duration workAhead) const;
+    Base::Duration expectedWait(Base::TimePoint now, Queue::const_iterator position) const;
     std::optional<Base::Duration> excessiveWait(Base::TimePoint now, const QueuePosition &position,
                                                 const GateRequest &request) const;
     void moveLateRequestsBack(Base::TimePoint now);
     void enqueue(const QueuePosition &position, const GateRequest &request);
-    void dequeue(std::map<QueuePosition, GateRequest>::iterator entry);
+    void dequeue(Queue::iterator entry);
 
     BackendCondition m_condition;
-    std::map<QueuePosition, GateRequest> m_queue;
+    Queue m_queue;
     std::map<std::uint32_t, std::uint32_t> m_waitingByKey;
     std::vector<std::pair<Ticket, Decline>> m_declined;
     std::deque<Base::TimePoint> m_recentStarts; //!< start times of the last second
     Ticket m_lastTicket = 0;
-    std::uint32_t m_running = 0;
-    Base::Duration m_serviceTime = std::chrono::milliseconds(50);
-    Base::Duration m_usualServiceTime = std::chrono::milliseconds(50);
-    std::uint32_t m_serviceTimeSamples = 0; //!< samples in m_usualServiceTime, capped
+    std::unordered_map<Ticket, std::string> m_running; //!< routes of the requests in slots
+    ServiceTimes m_serviceTimes;
     Base::TimePoint m_throttledUntil{};
     std::uint32_t m_throttledLimit = 0;
 };
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -135,10 +135,10 @@
         }
     }
     if (pending.key && m_hooks.onKeyRequested)
-        m_hooks.onKeyRequested(*pending.key, m_gate.usualServiceTime());
+        m_hooks.onKeyRequested(*pending.key, m_gate.serviceTimes().usual(pending.request.route));
     const auto ticket
         = m_gate.offer(now, {pending.request.priority, now + pending.request.targetLeft,
-                             pending.deadline, pending.key});
+                             pending.deadline, pending.key, pending.request.route});
     if (!ticket) {
         decline(handle, std::string(toString(ticket.error().reason)), ticket.error().retryAfter);
         return;
@@ -153,7 +153,7 @@
     while (const auto ticket = m_gate.next(now)) {
         const auto found = m_byTicket.find(*ticket);
         if (found == m_byTicket.end()) {
-            m_gate.onFinished(now, Base::Duration::zero(), false);
+            m_gate.onFinished(*ticket, Base::Duration::zero(), false);
             continue;
         }
         const std::uint64_t handle = found->second;
@@ -241,8 +241,8 @@
                                                  : std::nullopt);
         answer.outcome = Outcome::NotRun;
         answer.error = classification.isKeyRefused ? "key-refused" : "backend-declined";
-        answer.retryAfter
-            = std::chrono::duration_cast<std::chrono::milliseconds>(m_gate.serviceTime());
+        answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_gate.serviceTimes().recentMean());
     } else if (wasAnswered) {
         answer.outcome = Outcome::Answered;
         answer.status = response.status;
@@ -279,7 +279,8 @@
     ForwardResponse answer;
     answer.outcome = error.sent ? Outcome::Unknown : Outcome::NotRun;
     answer.error = std::string(toString(error.code));
-    answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(m_gate.serviceTime());
+    answer.retryAfter
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_gate.serviceTimes().recentMean());
     releaseSlot(handle, false);
     finish(handle, std::move(answer));
 }
@@ -290,7 +291,7 @@
     const Base::TimePoint now = steadyNow();
     const Base::Duration service = now - pending.started;
     pending.isRunning = false;
-    m_gate.onFinished(now, service, wasAnswered);
+    m_gate.onFinished(pending.ticket, service, wasAnswered);
     if (wasAnswered)
         m_serviceTimes.add(service);
 }
--- a/tests/auto/gate/tst_backendgate.cpp
+++ b/tests/auto/gate/tst_backendgate.cpp
@@ -23,7 +23,24 @@
 
 GateRequest request(unsigned priority, Base::Duration deadline, Base::TimePoint now = Start)
 {
-    return {priority, now + deadline / 4, now + deadline, {}};
+    return {priority, now + deadline / 4, now + deadline, {}, {}};
+}
+
+GateRequest routeRequest(const std::string &route, Base::Duration target, Base::Duration deadline,
+                         unsigned priority = 1, Base::TimePoint now = Start)
+{
+    return {priority, now + target, now + deadline, {}, route};
+}
+
+/*! Runs \a count requests of a route one after the other. */
+void serve(BackendGate &gate, const std::string &route, Base::Duration service, int count = 300)
+{
+    for (int i = 0; i < count; ++i) {
+        EXPECT_TRUE(gate.offer(Start, routeRequest(route, 1h, 1h)));
+        const auto ticket = gate.next(Start);
+        ASSERT_TRUE(ticket);
+        gate.onFinished(*ticket, service, true);
+    }
 }
 
 /*! Returns a gate whose mean service time has converged to \a service. */
@@ -31,11 +48,7 @@
 {
     BackendGate gate;
     gate.setCondition(Start, condition);
-    for (int i = 0; i < 300; ++i) {
-        EXPECT_TRUE(gate.offer(Start, request(0, 1h)));
-        EXPECT_TRUE(gate.next(Start));
-        gate.onFinished(Start, service, true);
-    }
+    serve(gate, {}, service);
     return gate;
 }
 
@@ -72,6 +85,7 @@
     {
         unsigned priority;
         Base::TimePoint arrived;
+        Ticket ticket = 0;
     };
     std::map<Ticket, Job> waiting;
     std::deque<Job> fifoQueue;
@@ -91,13 +105,13 @@
         if (isArrival) {
             nextArrival += std::chrono::duration_cast<Base::Duration>(
                 std::chrono::duration<double>(interArrivalTime(random)));
-            const Job job{random() % 10 == 0 ? 0U : 1U, now};
+            const Job job{random() % 10 == 0 ? 0U : 1U, now, 0};
             ++result.offered[job.priority];
             if (isFifo) {
                 fifoQueue.push_back(job);
             } else if (const auto ticket
-                       = gate.offer(now, {job.priority, now + target, now + Deadline, {}})) {
-                waiting[*ticket] = job;
+                       = gate.offer(now, {job.priority, now + target, now + Deadline, {}, {}})) {
+                waiting[*ticket] = {job.priority, job.arrived, *ticket};
             } else {
                 ++result.refused;
             }
@@ -109,7 +123,7 @@
             result.served += latency <= Deadline ? 1 : 0;
             result.completedTooLate += latency > Deadline ? 1 : 0;
             if (!isFifo)
-                gate.onFinished(now, runTime, true);
+                gate.onFinished(job.ticket, runTime, true);
         }
         if (isFifo) {
             while (running.size() < Slots && !fifoQueue.empty()) {
@@ -176,9 +190,9 @@
     std::deque<Base::TimePoint> starts;
     for (Base::TimePoint now = Start; now < Start + 5s; now += 10ms) {
         static_cast<void>(gate.offer(now, request(0, 10s, now)));
-        while (gate.next(now)) {
+        while (const auto ticket = gate.next(now)) {
             starts.push_back(now);
-            gate.onFinished(now, 10ms, true);
+            gate.onFinished(*ticket, 10ms, true);
         }
         while (starts.front() + 1s <= now)
             starts.pop_front();
@@ -194,7 +208,7 @@
     int accepted = 0;
     std::optional<Decline> decline;
     while (!decline) {
-        const auto ticket = gate.offer(Start, {0, Start + 1s, Start + 1s, {}});
+        const auto ticket = gate.offer(Start, {0, Start + 1s, Start + 1s, {}, {}});
         if (ticket)
             ++accepted;
         else
@@ -211,7 +225,7 @@
 {
     BackendGate gate = gateWithServiceTime(readyCondition(2), 100ms);
     int accepted = 0;
-    while (gate.offer(Start, {0, Start + 250ms, Start + 10s, {}})) {
+    while (gate.offer(Start, {0, Start + 250ms, Start + 10s, {}, {}})) {
         ++accepted;
         while (gate.next(Start)) {
         }
@@ -219,22 +233,26 @@
     EXPECT_NEAR(accepted, 5, 1) << "two running requests, and those that end within 250 ms";
     {
         SCOPED_TRACE("a request with an earlier deadline does not wait behind them");
-        EXPECT_TRUE(gate.offer(Start, {0, Start + 120ms, Start + 200ms, {}}));
+        EXPECT_TRUE(gate.offer(Start, {0, Start + 120ms, Start + 200ms, {}, {}}));
     }
     {
         SCOPED_TRACE("a request that is already late is accepted while slots are idle");
         BackendGate idle = gateWithServiceTime(readyCondition(2), 100ms);
-        EXPECT_TRUE(idle.offer(Start, {0, Start - 1ms, Start + 10s, {}}));
+        EXPECT_TRUE(idle.offer(Start, {0, Start - 1ms, Start + 10s, {}, {}}));
     }
 }
 
 TEST(BackendGate, aKeyWithMoreDemandThanSlotsLeavesPlacesToOthers)
 {
     BackendGate gate = gateWithServiceTime(readyCondition(4), 100ms);
-    const auto offer = [&gate](std::uint32_t key) {
-        const bool isAccepted = gate.offer(Start, {0, Start + 1s, Start + 2s, key}).has_value();
-        while (gate.next(Start)) {
-        }
+    std::deque<Ticket> running;
+    const auto startNext = [&] {
+        while (const auto ticket = gate.next(Start))
+            running.push_back(*ticket);
+    };
+    const auto offer = [&](std::uint32_t key) {
+        const bool isAccepted = gate.offer(Start, {0, Start + 1s, Start + 2s, key, {}}).has_value();
+        startNext();
         return isAccepted;
     };
     constexpr std::uint32_t HotKey = 17;
@@ -247,8 +265,9 @@
     {
         SCOPED_TRACE("the key may queue requests again once its waiting ones have started");
         for (int i = 0; i < 2; ++i) {
-            gate.onFinished(Start, 100ms, true);
-            static_cast<void>(gate.next(Start));
+            gate.onFinished(running.front(), 100ms, true);
+            running.pop_front();
+            startNext();
         }
         EXPECT_TRUE(offer(HotKey));
     }
@@ -257,13 +276,13 @@
 TEST(BackendGate, overtakenRequestsAreDeclinedEarly)
 {
     BackendGate gate = gateWithServiceTime(readyCondition(1), 100ms);
-    ASSERT_TRUE(gate.offer(Start, {1, Start + 1s, Start + 1s, {}}));
+    ASSERT_TRUE(gate.offer(Start, {1, Start + 1s, Start + 1s, {}, {}}));
     ASSERT_TRUE(gate.next(Start));
-    const auto waiting = gate.offer(Start, {1, Start + 400ms, Start + 400ms, {}});
+    const auto waiting = gate.offer(Start, {1, Start + 400ms, Start + 400ms, {}, {}});
     ASSERT_TRUE(waiting);
     EXPECT_TRUE(gate.takeDeclined(Start).empty());
     for (int i = 0; i < 4; ++i)
-        ASSERT_TRUE(gate.offer(Start, {0, Start + 900ms, Start + 900ms, {}}));
+        ASSERT_TRUE(gate.offer(Start, {0, Start + 900ms, Start + 900ms, {}, {}}));
     const auto declined = gate.takeDeclined(Start);
     ASSERT_EQ(declined.size(), 1U) << "declined at once, not at its deadline";
     EXPECT_EQ(declined[0].first, *waiting);
@@ -274,15 +293,16 @@
 {
     BackendGate gate = gateWithServiceTime(readyCondition(1), 100ms);
     ASSERT_TRUE(gate.offer(Start, request(1, 2s)));
-    ASSERT_TRUE(gate.next(Start));
-    const Ticket late = *gate.offer(Start, {1, Start + 250ms, Start + 1s, {}});
-    const Ticket inTime = *gate.offer(Start, {1, Start + 900ms, Start + 2s, {}});
-    const Ticket urgent = *gate.offer(Start, {0, Start + 900ms, Start + 2s, {}});
+    Ticket running = gate.next(Start).value();
+    const Ticket late = *gate.offer(Start, {1, Start + 250ms, Start + 1s, {}, {}});
+    const Ticket inTime = *gate.offer(Start, {1, Start + 900ms, Start + 2s, {}, {}});
+    const Ticket urgent = *gate.offer(Start, {0, Start + 900ms, Start + 2s, {}, {}});
     const Base::TimePoint freedAt = Start + 160ms; // the first of them would end after its target
     std::vector<Ticket> order;
     for (int i = 0; i < 3; ++i) {
-        gate.onFinished(freedAt, 100ms, true);
-        order.push_back(*gate.next(freedAt));
+        gate.onFinished(running, 100ms, true);
+        running = gate.next(freedAt).value();
+        order.push_back(running);
     }
     EXPECT_EQ(order, (std::vector<Ticket>{urgent, inTime, late}));
 }
@@ -303,11 +323,12 @@
     gate.setCondition(Start, readyCondition(4));
     for (int i = 0; i < 8; ++i)
         ASSERT_TRUE(gate.offer(Start, request(0, 10s)));
-    while (gate.next(Start)) {
-    }
+    std::vector<Ticket> running;
+    while (const auto ticket = gate.next(Start))
+        running.push_back(*ticket);
     EXPECT_EQ(gate.running(), 4U);
-    gate.onFinished(Start, 1ms, false);
-    gate.onFinished(Start, 1ms, false);
+    gate.onFinished(running[0], 1ms, false);
+    gate.onFinished(running[1], 1ms, false);
     gate.onBackendDeclined(Start, std::nullopt);
     EXPECT_FALSE(gate.next(Start + 1ms));
     EXPECT_TRUE(gate.next(Start + 1s));
@@ -322,29 +343,29 @@
     const auto served = [&](bool reportsLoad) {
         BackendGate gate;
         gate.setCondition(Start, readyCondition(4));
-        std::vector<Base::TimePoint> ends;
+        std::vector<std::pair<Base::TimePoint, Ticket>> ends;
         int answered = 0;
         int sent = 0;
         for (auto now = Start; now < Start + 5s; now += 10ms) {
             for (auto end = ends.begin(); end != ends.end();) {
-                if (*end > now) {
+                if (end->first > now) {
                     ++end;
                     continue;
                 }
-                gate.onFinished(now, Service, true);
+                gate.onFinished(end->second, Service, true);
                 ++answered;
                 end = ends.erase(end);
             }
             (void)gate.offer(now, request(0, 300ms, now));
-            while (gate.next(now)) {
+            while (const auto ticket = gate.next(now)) {
                 if (++sent % 2 == 0) {
-                    ends.push_back(now + Service);
+                    ends.emplace_back(now + Service, *ticket);
                     continue;
                 }
                 const auto busySlots = static_cast<std::uint32_t>(ends.size());
                 gate.onBackendDeclined(now, reportsLoad ? std::optional<std::uint32_t>(busySlots)
                                                         : std::nullopt);
-                gate.onFinished(now, 1ms, false);
+                gate.onFinished(*ticket, 1ms, false);
             }
             (void)gate.takeDeclined(now);
         }
@@ -391,4 +412,88 @@
     }
 }
 
+// Guards against declining short requests by the mean service time of long ones. Requests of 480 ms
+// shared nine slots with lookups of 30 ms that have to be answered within 400 ms; the mean of the
+// gate was up to 670 ms, and the lookups were declined while slots were free.
+TEST(BackendGate, shortRequestsAreNotDeclinedByTheServiceTimeOfLongOnes)
+{
+    BackendGate gate;
+    gate.setCondition(Start, readyCondition(9));
+    serve(gate, "lookup", 30ms, 30);
+    serve(gate, "history", 480ms);
+    const auto lookup = routeRequest("lookup", 120ms, 400ms, 0);
+    {
+        SCOPED_TRACE("while slots are free");
+        for (int i = 0; i < 8; ++i) {
+            ASSERT_TRUE(gate.offer(Start, routeRequest("history", 1500ms, 3s)));
+            ASSERT_TRUE(gate.next(Start));
+        }
+        const auto ticket = gate.offer(Start, lookup);
+        ASSERT_TRUE(ticket);
+        EXPECT_EQ(gate.next(Start).value_or(0), *ticket);
+        EXPECT_TRUE(gate.takeDeclined(Start).empty());
+    }
+    {
+        SCOPED_TRACE("while all slots are in use, they wait in front of long requests");
+        ASSERT_TRUE(gate.offer(Start, routeRequest("history", 1500ms, 3s)));
+        const auto ticket = gate.offer(Start, lookup);
+        ASSERT_TRUE(ticket) << "one of nine slots is freed within about 55 ms";
+        EXPECT_TRUE(gate.takeDeclined(Start).empty());
+    }
+    {
+        SCOPED_TRACE("but a long request that cannot end in time is declined");
+        EXPECT_FALSE(gate.offer(Start, routeRequest("history", 400ms, 500ms)));
+    }
+}
+
+// Guards against accepting requests of a route without answers as if they were short, and against
+// declining them by the service time of another route.
+TEST(BackendGate, theTargetLatencyOfANewRouteBoundsItsExpectedServiceTime)
+{
+    BackendGate gate;
+    gate.setCondition(Start, readyCondition(1));
+    serve(gate, "history", 480ms);
+    EXPECT_TRUE(gate.offer(Start, routeRequest("lookup", 120ms, 400ms)));
+    const auto ticket = gate.next(Start);
+    ASSERT_TRUE(ticket) << "400 ms are more than its target latency of 120 ms";
+    EXPECT_LT(gate.serviceTimes().expected("lookup"), 120ms);
+    gate.onFinished(*ticket, 30ms, true);
+    EXPECT_GT(gate.serviceTimes().expected("history"), 400ms) << "the routes stay apart";
+}
+
+// Guards against estimates of rare routes that are out of date: the BackendServer turned slow since
+// their last request.
+TEST(BackendGate, aSlowBackendServerIsExpectedToBeSlowForAllRoutes)
+{
+    BackendGate gate;
+    gate.setCondition(Start, readyCondition(1));
+    serve(gate, "history", 400ms);
+    serve(gate, "lookup", 30ms);
+    serve(gate, "lookup", 150ms, 40);
+    EXPECT_GT(gate.serviceTimes().expected("history"), 1200ms);
+    EXPECT_LT(gate.serviceTimes().usual("history"), 500ms);
+}
+
+// Guards against requests that wait for a cold BackendServer until their deadlines pass although
+// its slots are free: the limit on starts per second is known in advance.
+TEST(BackendGate, requestsBeyondTheRateOfAColdBackendServerAreDeclinedAtOnce)
+{
+    BackendGate gate = gateWithServiceTime(readyCondition(9), 20ms);
+    BackendCondition cold = readyCondition(9);
+    cold.isCold = true;
+    cold.coldRequestsPerSecond = 5.0;
+    gate.setCondition(Start + 2s, cold);
+    const Base::TimePoint now = Start + 2s;
+    for (int i = 0; i < 5; ++i) {
+        ASSERT_TRUE(gate.offer(now, request(0, 400ms, now)));
+        const auto ticket = gate.next(now);
+        ASSERT_TRUE(ticket);
+        gate.onFinished(*ticket, 20ms, true);
+    }
+    const auto declined = gate.offer(now, request(0, 150ms, now));
+    ASSERT_FALSE(declined);
+    EXPECT_EQ(declined.error().reason, DeclineReason::Overloaded);
+    EXPECT_GE(declined.error().retryAfter, 150ms);
+}
+
 } // namespace Medlar::Gate
