KeyRange: Create the initial table when the starting BackendServers have reported

Cause: the first node that saw two ready BackendServers two seconds after its start wrote the table.

Change: RangePlanner::initialTable() waits until no known node is starting, 6 s at most. Nodes that are known from the store or a link and have not reported a BackendServer yet count as starting.

Test: theInitialTableWaitsForTheBackendServersThatAreStarting replays the reports; it failed with a limit of 2 s.

--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -141,6 +141,16 @@
     }
 };
 
+std::optional<RangeTable> RangePlanner::initialTable(Base::Duration sinceStart,
+                                                     const std::vector<RangeNode> &nodes) const
+{
+    const bool areNodesStarting = std::any_of(
+        nodes.begin(), nodes.end(), [](const RangeNode &node) { return node.isStarting; });
+    const Base::Duration delay
+        = areNodesStarting ? m_settings.maxInitialTableDelay : m_settings.minInitialTableDelay;
+    return sinceStart < delay ? std::nullopt : initialTable(nodes);
+}
+
 std::optional<RangeTable> RangePlanner::initialTable(const std::vector<RangeNode> &nodes) const
 {
     std::vector<std::string> owners;
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -16,6 +16,7 @@
 {
     std::string id;                 //!< as in RangeRow::owner
     bool takesRanges = false;       //!< ready, and its zone is in service
+    bool isStarting = false;        //!< its BackendServer has not reported yet
     bool mustReleaseRanges = false; //!< draining, evacuated, or lost for longer than a restart
     double slots = 1.0;
     double relativeServiceTime
@@ -27,6 +28,12 @@
     /*! Ranges of each node in the initial table. The ranges of different nodes are interleaved,
      * since busy keys tend to be adjacent. */
     std::size_t initialRangesPerNode = 8;
+    /*! Time after the start of a node before it creates the initial table. Nodes that start
+     * together know each other by then. */
+    Base::Duration minInitialTableDelay = std::chrono::milliseconds(2000);
+    /*! The initial table waits until the BackendServers of all known nodes have reported, up to
+     * this time after the start. */
+    Base::Duration maxInitialTableDelay = std::chrono::milliseconds(6000);
     /*! Limit of concurrent moves, multiplied by the number of nodes of the service. Requests for
      * keys that are being moved have to wait. */
     std::size_t maxMovesPerNode = 4;
@@ -64,7 +71,13 @@
 public:
     explicit RangePlanner(const PlannerSettings &settings = {}) : m_settings(settings) {}
 
-    /*! Returns the initial table of a service, or nothing if no node takes ranges. */
+    /*! Returns the initial table of a service \a sinceStart after the start of this node, or
+     * nothing if it is too early or no node takes ranges. BackendServers that start together send
+     * their first reports over several seconds; a table of the first few would give them all keys,
+     * and with them the load of the whole service. */
+    std::optional<RangeTable> initialTable(Base::Duration sinceStart,
+                                           const std::vector<RangeNode> &nodes) const;
+    /*! Returns a table that divides the keys among the nodes that take ranges. */
     std::optional<RangeTable> initialTable(const std::vector<RangeNode> &nodes) const;
 
     /*! Returns \a table with added or changed successors, or nothing if no successor changes.
--- a/tests/auto/keyrange/tst_rangeplanner.cpp
+++ b/tests/auto/keyrange/tst_rangeplanner.cpp
@@ -112,6 +112,54 @@
     EXPECT_NEAR(keys["n0"], keys["n2"], 10);
 }
 
+// Guards against an initial table of the few nodes whose BackendServers report first. With 62
+// nodes, the first reports of the 25 BackendServers of a service came over a second; the table was
+// created with two of them, which got all keys and could not serve them for the rest of the day.
+TEST(RangePlanner, theInitialTableWaitsForTheBackendServersThatAreStarting)
+{
+    const RangePlanner planner;
+    constexpr std::size_t NodeCount = 25;
+    const auto nodesAt = [](Base::Duration sinceStart) {
+        auto result = nodes(NodeCount);
+        for (std::size_t i = 0; i < NodeCount; ++i) {
+            result[i].takesRanges = sinceStart >= 1950ms + i * 40ms;
+            result[i].isStarting = !result[i].takesRanges;
+        }
+        return result;
+    };
+    const auto ownerCount = [](const RangeTable &table) {
+        std::map<std::string, int> rows;
+        for (const RangeRow &row : table.rows())
+            ++rows[row.owner];
+        return rows.size();
+    };
+    const auto tableAfter = [&](Base::Duration sinceStart) {
+        return planner.initialTable(sinceStart, nodesAt(sinceStart));
+    };
+    {
+        SCOPED_TRACE("too early even if all known nodes are ready");
+        EXPECT_FALSE(planner.initialTable(1s, nodes(2)));
+        EXPECT_TRUE(planner.initialTable(2s, nodes(2)));
+    }
+    {
+        SCOPED_TRACE("the nodes report one after the other");
+        std::optional<RangeTable> first;
+        for (Base::Duration sinceStart = 0s; !first; sinceStart += 120ms)
+            first = tableAfter(sinceStart);
+        EXPECT_EQ(ownerCount(*first), NodeCount);
+    }
+    {
+        SCOPED_TRACE("a node whose BackendServer never reports does not leave the keys unserved");
+        auto all = nodes(NodeCount);
+        all[3].takesRanges = false;
+        all[3].isStarting = true;
+        EXPECT_FALSE(planner.initialTable(5s, all));
+        const auto table = planner.initialTable(6s, all);
+        ASSERT_TRUE(table);
+        EXPECT_EQ(ownerCount(*table), NodeCount - 1);
+    }
+}
+
 TEST(RangePlanner, aLeavingNodeIsDrainedAndALostSuccessorReplaced)
 {
     RangePlanner planner;
