HTTP: Bound the bytes of a connection that are not parsed yet

Cause: the parser limits headers and bodies, but collects the size line and extensions of a chunk and the trailers until they end. A BackendServer, the store or a caller that sends such bytes without end could fill the memory of the process until the deadline of the request; the platform ends a process above 160 MB.

Looked at and ruled out: one long header field, many fields, no line end, a body without length or with a length beyond the limit, chunks without end, responses to other requests without end: they ended the connection before.

Change: the buffer of a connection is bounded by the header limit plus the size of one read, for BackendServers, callers and the store.

Tests: bytesWithoutEndCloseTheConnection (eleven shapes; four read more than 32 MB before) and chunkLinesAndTrailersWithoutEndAreRefused (failed before).

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -127,6 +127,7 @@
     m_parser = std::make_shared<Parser>();
     m_parser->header_limit(m_settings.maxHeaderBytes);
     m_parser->body_limit(m_settings.maxBodyBytes);
+    m_buffer.max_size(maxBufferedBytes(m_settings.maxHeaderBytes));
     m_parser->skip(m_request->request.method == "HEAD");
     http::async_read(
         m_socket, m_buffer, *m_parser,
--- a/src/libs/http/beastconversion.h
+++ b/src/libs/http/beastconversion.h
@@ -11,6 +11,17 @@
 
 namespace Medlar::Http {
 
+/*! Size of the reads of a message body. */
+constexpr std::size_t ReadSize = std::size_t(64) * 1024;
+
+/*! Bound of the unparsed bytes of a connection. The limits of a parser for headers and bodies do
+   not cover the size lines, extensions and trailers of chunks, which it collects until their end.
+ */
+constexpr std::size_t maxBufferedBytes(std::uint32_t maxHeaderBytes)
+{
+    return maxHeaderBytes + ReadSize;
+}
+
 /*! A socket bound to the io_context type, which saves the indirection of any_io_executor. */
 using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp,
                                                 boost::asio::io_context::executor_type>;
--- a/src/libs/http/httpsession.cpp
+++ b/src/libs/http/httpsession.cpp
@@ -78,6 +78,7 @@
     m_parser.emplace();
     m_parser->header_limit(m_group->settings.maxHeaderBytes);
     m_parser->body_limit(m_group->settings.maxBodyBytes);
+    m_buffer.max_size(maxBufferedBytes(m_group->settings.maxHeaderBytes));
     if (m_buffer.size() != 0) {
         readBody();
         return;
--- a/src/libs/store/storeconnection.cpp
+++ b/src/libs/store/storeconnection.cpp
@@ -14,6 +14,9 @@
 
 /*! Answers carry a few short headers only. */
 constexpr std::uint32_t MaxHeaderBytes = 16384;
+// Bound of the unparsed bytes. The limits of the parser do not cover the size lines, extensions and
+// trailers of chunks.
+constexpr std::size_t MaxBufferedBytes = MaxHeaderBytes + std::size_t(64) * 1024;
 
 CallFailureKind kindOf(Beast::error_code error)
 {
@@ -95,6 +98,7 @@
     m_parser.emplace();
     m_parser->header_limit(MaxHeaderBytes);
     m_parser->body_limit(m_call.maxAnswerBytes);
+    m_buffer.max_size(MaxBufferedBytes);
     Http::async_read(m_stream, m_buffer, *m_parser,
                      [self = shared_from_this()](Beast::error_code error, std::size_t) {
                          if (error) {
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -344,4 +344,71 @@
     EXPECT_TRUE(arrives(1, "b"));
 }
 
+// Guards against a faulty BackendServer whose bytes do not end before the caller closes: they must
+// neither fill the memory nor keep the request waiting until its deadline.
+TEST_F(BackendClientTest, bytesWithoutEndCloseTheConnection)
+{
+    settings.acceptsBodyUntilClose = true;
+    settings.waitsBehindOtherResponse = true;
+    settings.maxConnections = 20;
+    client = BackendClient::create(context, settings);
+    const std::string head = "HTTP/1.1 200 OK\r\nMedlar-Request-Id: a\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        const char *name;
+        std::string start;
+        std::string repeated;
+    };
+    const std::vector<Case> cases{
+        {"no line end", "", "nonsense"},
+        {"one long field", head + "X: ", "0123456789abcdef"},
+        {"many fields", head, "X: 1\r\n"},
+        {"body without length", head + "\r\n", "0123456789abcdef"},
+        {"body beyond any limit", head + "Content-Length: 99999999999\r\n\r\n", "0123456789abcdef"},
+        {"chunks", chunked, "10\r\n0123456789abcdef\r\n"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "1;x=", "0123456789abcdef"},
+        {"trailer", chunked + "0\r\n", "X: 1\r\n"},
+        {"one long trailer", chunked + "0\r\nX: ", "0123456789abcdef"},
+        {"responses to other requests", "", response("z", "0123456789")},
+    };
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        SCOPED_TRACE(cases[i].name);
+        send("a");
+        ASSERT_TRUE(arrives(i, "a"));
+        auto &connection = *backend.connections[i];
+        connection.write(cases[i].start);
+        std::string block;
+        while (block.size() < 64 * 1024)
+            block += cases[i].repeated;
+        constexpr std::size_t MaxBytes = std::size_t(32) * 1024 * 1024;
+        std::size_t written = 0;
+        connection.socket.non_blocking(true);
+        ASSERT_TRUE(until([&] {
+            boost::system::error_code error;
+            while (!error && written < MaxBytes && !results[i])
+                written += connection.socket.write_some(asio::buffer(block), error);
+            return results[i].has_value() || written >= MaxBytes;
+        }));
+        EXPECT_LT(written, MaxBytes) << "read without limit";
+        if (!results[i]) {
+            client = BackendClient::create(context, settings);
+            continue;
+        }
+        ASSERT_FALSE(*results[i]);
+        EXPECT_TRUE(results[i]->error().sent);
+        EXPECT_EQ(client->idleConnections(), 0U);
+        connection.socket.close();
+    }
+    {
+        SCOPED_TRACE("other requests are served meanwhile");
+        send("b");
+        ASSERT_TRUE(arrives(cases.size(), "b"));
+        backend.connections[cases.size()]->write(response("b", "B"));
+        ASSERT_TRUE(ends(cases.size()));
+        EXPECT_TRUE(*results[cases.size()]);
+    }
+}
+
 } // namespace Medlar::Http
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -89,6 +89,31 @@
     EXPECT_EQ(requests[0].body.size(), 2000U);
 }
 
+// Guards against a caller that fills the memory with bytes which the limits of headers and bodies
+// do not cover.
+TEST_F(HttpServerTest, chunkLinesAndTrailersWithoutEndAreRefused)
+{
+    start();
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &start : {head + "0", head + "1;x=", head + "0\r\nX: "}) {
+        SCOPED_TRACE(start.substr(head.size()));
+        RawClient client(context, server->port());
+        client.send(start);
+        constexpr std::size_t MaxBytes = std::size_t(4) * 1024 * 1024;
+        const std::string block(16 * 1024, '0');
+        std::size_t written = 0;
+        EXPECT_TRUE(until([&] {
+            if (!client.isClosed() && client.received().empty() && written < MaxBytes) {
+                client.send(block);
+                written += block.size();
+            }
+            return !client.received().empty() || client.isClosed() || written >= MaxBytes;
+        }));
+        EXPECT_LT(written, MaxBytes) << "read without limit";
+    }
+    EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(HttpServerTest, pipelinedRequestsAreAnsweredInOrder)
 {
     start();
