Relay: Dispatch after all messages that were read together

Cause: a request from another node was started before the next message of the same read was looked at. The time that the request spent in the socket did not count against its deadline.

Change: LocalBackend dispatches from a posted handler, so that cancels in the same read count and the most urgent request goes first. The delay of that handler is taken off the deadline of requests that are read next.

Tests: two in tst_localbackend, both failed before.

--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -3,6 +3,8 @@
 #include "base/steadyclock.h"
 #include "http/headers.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace Medlar::Relay {
@@ -36,7 +38,8 @@
                            const Http::BackendClientSettings &settings,
                            const BackendDialect &dialect, LocalBackendHooks hooks,
                            Base::LogSink &log, Metrics::MetricRegistry &metrics)
-    : m_timers(context)
+    : m_context(context)
+    , m_timers(context)
     , m_dialect(dialect)
     , m_hooks(std::move(hooks))
     , m_log(log)
@@ -99,14 +102,28 @@
             pending.key = static_cast<std::uint32_t>(std::min<std::uint64_t>(*key, UINT32_MAX));
     }
     pending.request = std::move(request);
-    pending.deadline = deadline;
+    // The time that the request spent in the socket is unknown to the sender and counts as well.
+    pending.deadline = deadline - m_eventLoopLag;
     pending.done = std::move(done);
     pending.arrived = steadyNow();
     admit(handle);
-    dispatchRequests();
+    postDispatch();
     return handle;
 }
 
+// On a busy VM, many messages are read at once. Requests that are cancelled by one of them are not
+// started, and the most urgent ones of them go first.
+void LocalBackend::postDispatch()
+{
+    if (std::exchange(m_isDispatchPosted, true))
+        return;
+    boost::asio::post(m_context, [this, postedAt = steadyNow()] {
+        m_isDispatchPosted = false;
+        m_eventLoopLag = steadyNow() - postedAt;
+        dispatchRequests();
+    });
+}
+
 void LocalBackend::admit(std::uint64_t handle)
 {
     PendingRequest &pending = m_pending.at(handle);
@@ -179,11 +196,13 @@
     auto turn = m_gate.nextPollTime(now);
     if (!turn && !m_awaitingKeys.empty())
         turn = now + std::chrono::milliseconds(50);
-    if (!turn || m_isDispatchScheduled)
+    if (!turn || (m_nextDispatch && *m_nextDispatch <= *turn))
         return;
-    m_isDispatchScheduled = true;
-    m_timers.add(*turn, [this] {
-        m_isDispatchScheduled = false;
+    if (m_nextDispatch)
+        m_timers.cancel(m_dispatchTimer);
+    m_nextDispatch = turn;
+    m_dispatchTimer = m_timers.add(*turn, [this] {
+        m_nextDispatch.reset();
         onKeysChanged();
     });
 }
@@ -234,11 +253,6 @@
     if (classification.kind == AnswerKind::NotRun) {
         if (classification.isOtherBackend && m_hooks.onPossibleRestart)
             m_hooks.onPossibleRestart();
-        if (!classification.isOtherBackend && !classification.isKeyRefused)
-            m_gate.onBackendDeclined(
-                steadyNow(), classification.load ? std::optional<std::uint32_t>(
-                                 classification.load->running + classification.load->waiting)
-                                                 : std::nullopt);
         answer.outcome = Outcome::NotRun;
         answer.error = classification.isKeyRefused ? "key-refused" : "backend-declined";
         answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -253,6 +267,13 @@
         answer.error = "backend-answer-unusable";
     }
     releaseSlot(handle, wasAnswered);
+    const bool isDeclinedAsFull = classification.kind == AnswerKind::NotRun
+                                  && !classification.isOtherBackend && !classification.isKeyRefused;
+    if (isDeclinedAsFull)
+        m_gate.onBackendDeclined(steadyNow(),
+                                 classification.load ? std::optional<std::uint32_t>(
+                                     classification.load->running + classification.load->waiting)
+                                                     : std::nullopt);
     finish(handle, std::move(answer));
 }
 
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -92,6 +93,8 @@
 
     void admit(std::uint64_t handle);
     void dispatchRequests();
+    /*! Dispatches after all messages that have been read already. */
+    void postDispatch();
     void scheduleDispatch();
     void start(std::uint64_t handle);
     void onResult(std::uint64_t handle, Http::BackendResult result);
@@ -102,6 +105,7 @@
     void releaseSlot(std::uint64_t handle, bool wasAnswered);
     void logOutcome(const PendingRequest &pending, const Messages::ForwardResponse &response) const;
 
+    boost::asio::io_context &m_context;
     Http::DeadlineQueue m_timers;
     const BackendDialect &m_dialect;
     LocalBackendHooks m_hooks;
@@ -116,7 +120,11 @@
     std::string m_backendId;
     std::uint64_t m_lastHandle = 0;
     unsigned m_consecutiveFailures = 0;
-    bool m_isDispatchScheduled = false;
+    std::optional<Base::TimePoint> m_nextDispatch; //!< empty if no timer is set
+    Http::DeadlineQueue::Handle m_dispatchTimer;
+    bool m_isDispatchPosted = false;
+    /*! How long a message that is read now may have waited for the event loop. */
+    Base::Duration m_eventLoopLag{0};
     bool m_isClosing = false;
     std::unique_ptr<Http::BackendClient> m_client; //!< last: its callbacks use the other members
 };
--- /dev/null
+++ b/tests/auto/relay/tst_localbackend.cpp
@@ -0,0 +1,129 @@
+#include "relay/localbackend.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+
+namespace Medlar::Relay {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using Messages::ForwardRequest;
+using Messages::ForwardResponse;
+
+class NullLog : public Base::LogSink
+{
+public:
+    void write(const Base::LogLine & /*line*/) override {}
+};
+
+/*! Sends the request id as the target. */
+class FakeDialect : public BackendDialect
+{
+public:
+    Http::HttpRequest toBackend(const ForwardRequest &request,
+                                const std::string & /*backend*/) const override
+    {
+        Http::HttpRequest result;
+        result.method = "GET";
+        result.target = '/' + request.requestId;
+        return result;
+    }
+    void setTimeLeft(Http::HttpRequest & /*request*/,
+                     std::chrono::milliseconds /*left*/) const override
+    {}
+    AnswerClassification classify(const Http::HttpResponse & /*response*/,
+                                  const std::string & /*backend*/) const override
+    {
+        return {};
+    }
+};
+
+/*! A BackendServer with one slot that never answers. */
+class LocalBackendTest : public ::testing::Test
+{
+protected:
+    LocalBackendTest()
+        : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_local(m_context, clientSettings(), m_dialect, {}, m_log, m_metrics)
+    {
+        m_local.setService("catalog", "backend");
+        Gate::BackendCondition condition;
+        condition.isPresent = true;
+        m_local.setCondition(condition);
+    }
+
+    Http::BackendClientSettings clientSettings() const
+    {
+        Http::BackendClientSettings settings;
+        settings.port = m_acceptor.local_endpoint().port();
+        return settings;
+    }
+
+    std::uint64_t handle(const std::string &id, unsigned priority = 1)
+    {
+        ForwardRequest request;
+        request.requestId = id;
+        request.service = "catalog";
+        request.priority = priority;
+        request.targetLeft = 1h;
+        return m_local.handle(
+            std::move(request), std::chrono::steady_clock::now() + 1h,
+            [this](const ForwardResponse &answer) { m_answers.push_back(answer); });
+    }
+
+    void run()
+    {
+        m_context.restart();
+        m_context.run_for(50ms);
+    }
+
+    /*! First bytes of the request that the BackendServer got, or nothing. */
+    std::string received()
+    {
+        run();
+        m_acceptor.non_blocking(true);
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (error)
+            return {};
+        run();
+        std::string bytes(64, '\0');
+        socket.non_blocking(true);
+        bytes.resize(socket.read_some(asio::buffer(bytes), error));
+        return bytes;
+    }
+
+    asio::io_context m_context;
+    NullLog m_log;
+    Metrics::MetricRegistry m_metrics;
+    FakeDialect m_dialect;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<ForwardResponse> m_answers;
+    LocalBackend m_local;
+};
+
+} // namespace
+
+// Guards against requests that reach the BackendServer after their callers have left. On a busy VM,
+// a request and the message that cancels it waited for 1.5 s and were read together; the request
+// was started before the next message was looked at.
+TEST_F(LocalBackendTest, aRequestThatIsCancelledByAMessageReadWithItIsNotStarted)
+{
+    m_local.cancel(handle("left"));
+    EXPECT_EQ(received(), "");
+    EXPECT_EQ(m_local.pendingCount(), 0U);
+    EXPECT_TRUE(m_answers.empty());
+}
+
+// Guards against urgent requests that wait for others which were read just before them.
+TEST_F(LocalBackendTest, theMostUrgentOfTheRequestsReadTogetherIsStartedFirst)
+{
+    handle("other", 2);
+    handle("urgent", 0);
+    EXPECT_EQ(received().rfind("GET /urgent ", 0), 0U);
+}
+
+} // namespace Medlar::Relay
