Revert "KeyRange: Count requests with large bodies by the link of their node"

Requests to merthyr-11 still take 1.2 s in the worst tenth, and a second node (bangor-9) does likewise: while a single key is hot, there is nothing to move away from it that would free the link. What is needed is a limit on what is sent to a node with a full link.

--- a/src/libs/keyrange/rangeloadmeter.cpp
+++ b/src/libs/keyrange/rangeloadmeter.cpp
@@ -16,17 +16,6 @@
 
 } // namespace
 
-Base::Duration occupiedTime(Base::Duration serviceTime, std::uint64_t bodyBytes,
-                            const NodeCapacity &capacity)
-{
-    if (capacity.linkBytesPerSecond <= 0.0)
-        return serviceTime;
-    const std::chrono::duration<double> transferTime(static_cast<double>(bodyBytes)
-                                                     / capacity.linkBytesPerSecond);
-    return std::max(serviceTime,
-                    std::chrono::duration_cast<Base::Duration>(transferTime * capacity.slots));
-}
-
 RangeLoadMeter::RangeLoadMeter() : m_window(LastKey + 1), m_average(LastKey + 1) {}
 
 void RangeLoadMeter::add(Key key, Base::Duration typicalServiceTime)
--- a/src/libs/keyrange/rangeloadmeter.h
+++ b/src/libs/keyrange/rangeloadmeter.h
@@ -3,7 +3,6 @@
 #include "base/time.h"
 #include "rangetable.h"
 
-#include <cstdint>
 #include <vector>
 
 namespace Medlar::KeyRange {
@@ -16,22 +15,6 @@
     double busySlots = 0.0;
 };
 
-/*! What a node has for the requests for its ranges. */
-struct NodeCapacity
-{
-    double slots = 1.0;              //!< of its BackendServer
-    double linkBytesPerSecond = 0.0; //!< in one direction; 0: unknown
-};
-
-/*!
-    Returns the time for which a request counts as occupying a slot. A request whose body uses a
-   larger part of the link of the node than of its slots counts by the link. Handles the load
-   pattern "hot keys with large bodies": a link that is full delays all messages of the node, while
-   its slots are idle.
-*/
-Base::Duration occupiedTime(Base::Duration serviceTime, std::uint64_t bodyBytes,
-                            const NodeCapacity &capacity);
-
 /*!
     Measures the load of each key on its BackendServer and splits ranges by load. Handles the load
    pattern "neighbouring keys become busy": a few adjacent keys with a high load are reported as a
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -152,8 +152,7 @@
         }
     }
     if (pending.key && m_hooks.onKeyRequested)
-        m_hooks.onKeyRequested(*pending.key, m_gate.serviceTimes().usual(pending.request.route),
-                               pending.request.body.size());
+        m_hooks.onKeyRequested(*pending.key, m_gate.serviceTimes().usual(pending.request.route));
     const auto ticket
         = m_gate.offer(now, {pending.request.priority, now + pending.request.targetLeft,
                              pending.deadline, pending.key, pending.request.route});
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -27,9 +27,7 @@
      * which a request typically occupies a slot. Includes requests that are declined for overload,
      * since the running requests of a full BackendServer do not show the demand beyond its
      * capacity. */
-    std::function<void(std::uint32_t key, Base::Duration typicalServiceTime,
-                       std::uint64_t bodyBytes)>
-        onKeyRequested;
+    std::function<void(std::uint32_t key, Base::Duration typicalServiceTime)> onKeyRequested;
     /*! Called when several connections in a row failed, or when another BackendServer responded at
      * the address; the BackendServer may have restarted. */
     std::function<void()> onPossibleRestart;
