Relay: Let the measured delay of the event loop expire

Cause, found by reading: the delay measured by the last dispatch was taken off the deadline of the next request however much later it came.

Change: it counts for as long as the delay was. Two comments said something else than the code.

Test: theTimeThatARequestMayHaveWaitedToBeReadCountsAgainstItsDeadline; its second half fails without the change.

--- a/src/libs/gate/servicetimes.cpp
+++ b/src/libs/gate/servicetimes.cpp
@@ -21,7 +21,8 @@
 // Bounds of the slowdown, against extreme answers of a route with few samples.
 constexpr double MinSlowdown = 0.3;
 constexpr double MaxSlowdown = 10.0;
-// Routes beyond this number share one estimate. Routes come and go with the configuration.
+// Above this number, the route with the fewest answers is dropped. Routes come and go with the
+// configuration.
 constexpr std::size_t MaxRoutes = 256;
 
 } // namespace
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -102,10 +102,11 @@
             pending.key = static_cast<std::uint32_t>(std::min<std::uint64_t>(*key, UINT32_MAX));
     }
     pending.request = std::move(request);
-    // The time that the request spent in the socket is unknown to the sender and counts as well.
-    pending.deadline = deadline - m_eventLoopLag;
     pending.done = std::move(done);
     pending.arrived = steadyNow();
+    // The time that the request spent in the socket is unknown to the sender and counts as well.
+    const bool isLagCurrent = pending.arrived - m_lagMeasuredAt <= m_eventLoopLag;
+    pending.deadline = isLagCurrent ? deadline - m_eventLoopLag : deadline;
     admit(handle);
     postDispatch();
     return handle;
@@ -119,7 +120,8 @@
         return;
     boost::asio::post(m_context, [this, postedAt = steadyNow()] {
         m_isDispatchPosted = false;
-        m_eventLoopLag = steadyNow() - postedAt;
+        m_lagMeasuredAt = steadyNow();
+        m_eventLoopLag = m_lagMeasuredAt - postedAt;
         dispatchRequests();
     });
 }
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -123,8 +123,9 @@
     std::optional<Base::TimePoint> m_nextDispatch; //!< empty if no timer is set
     Http::DeadlineQueue::Handle m_dispatchTimer;
     bool m_isDispatchPosted = false;
-    /*! How long a message that is read now may have waited for the event loop. */
+    /*! How long a message that is read may have waited for the event loop; current for as long. */
     Base::Duration m_eventLoopLag{0};
+    Base::TimePoint m_lagMeasuredAt;
     bool m_isClosing = false;
     std::unique_ptr<Http::BackendClient> m_client; //!< last: its callbacks use the other members
 };
--- a/tests/auto/relay/tst_localbackend.cpp
+++ b/tests/auto/relay/tst_localbackend.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio.hpp>
 
+#include <thread>
+
 namespace Medlar::Relay {
 namespace {
 
@@ -61,7 +63,7 @@
         return settings;
     }
 
-    std::uint64_t handle(const std::string &id, unsigned priority = 1)
+    std::uint64_t handle(const std::string &id, unsigned priority = 1, Base::Duration timeout = 1h)
     {
         ForwardRequest request;
         request.requestId = id;
@@ -69,7 +71,7 @@
         request.priority = priority;
         request.targetLeft = 1h;
         return m_local.handle(
-            std::move(request), std::chrono::steady_clock::now() + 1h,
+            std::move(request), std::chrono::steady_clock::now() + timeout,
             [this](const ForwardResponse &answer) { m_answers.push_back(answer); });
     }
 
@@ -126,4 +128,28 @@
     EXPECT_EQ(received().rfind("GET /urgent ", 0), 0U);
 }
 
+// Guards against requests that run past the deadlines of their callers because they waited in the
+// socket of a busy VM, and against a delay that counts long after it has ended.
+TEST_F(LocalBackendTest, theTimeThatARequestMayHaveWaitedToBeReadCountsAgainstItsDeadline)
+{
+    const auto delayLoop = [this] {
+        handle("first");
+        std::this_thread::sleep_for(200ms);
+        m_context.restart();
+        m_context.poll();
+    };
+    delayLoop();
+    handle("late", 0, 150ms);
+    m_context.restart();
+    m_context.poll();
+    ASSERT_EQ(m_answers.size(), 1U);
+    EXPECT_EQ(m_answers[0].outcome, Messages::Outcome::NotRun);
+    delayLoop();
+    std::this_thread::sleep_for(1s);
+    handle("later", 0, 150ms);
+    m_context.restart();
+    m_context.poll();
+    EXPECT_EQ(m_answers.size(), 1U) << "the loop is idle again";
+}
+
 } // namespace Medlar::Relay
--- a/tests/auto/relay/tst_offerlimit.cpp
+++ b/tests/auto/relay/tst_offerlimit.cpp
@@ -9,13 +9,14 @@
 
 constexpr char Route[] = "status";
 
-/*! Offers \a requests of which \a capacityShare find room at each node, within the limit. */
 struct Replay
 {
     int served = 0;
     int offers = 0;
 };
 
+/*! Offers \a requests within the limit to nodes that have room with the probability
+    \a acceptedShare. */
 Replay replay(OfferLimit &limit, int requests, double acceptedShare, std::mt19937_64 &random)
 {
     std::bernoulli_distribution isAccepted(acceptedShare);
