--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -380,7 +380,7 @@
         auto &connection = *backend.connections[i];
         connection.write(cases[i].start);
         std::string block;
-        while (block.size() < 64 * 1024)
+        while (block.size() < std::size_t(64) * 1024)
             block += cases[i].repeated;
         constexpr std::size_t MaxBytes = std::size_t(32) * 1024 * 1024;
         std::size_t written = 0;
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -100,7 +100,7 @@
         RawClient client(context, server->port());
         client.send(start);
         constexpr std::size_t MaxBytes = std::size_t(4) * 1024 * 1024;
-        const std::string block(16 * 1024, '0');
+        const std::string block(std::size_t(16) * 1024, '0');
         std::size_t written = 0;
         EXPECT_TRUE(until([&] {
             if (!client.isClosed() && client.received().empty() && written < MaxBytes) {
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -170,6 +170,7 @@
     constexpr double RequestsPerSecond = 0.6 * Nodes * Slots / 0.2;
     FleetView fleet("self", {"10.0.0.1", 1, "north", "north-a"});
     std::vector<std::string> names;
+    names.reserve(Nodes);
     std::map<std::string, std::deque<Base::TimePoint>> ends;
     for (int i = 0; i < Nodes; ++i) {
         names.push_back("node" + std::to_string(i));
@@ -180,6 +181,7 @@
         fleet.onStatus(Start, names.back(), ready);
     }
     std::vector<PlaceChooser> choosers;
+    choosers.reserve(Daemons);
     for (int i = 0; i < Daemons; ++i)
         choosers.emplace_back("north", "north-a", i + 1);
     std::mt19937_64 random(5);
