HTTP, Relay: Look for the close of the caller before each attempt

Callers saw nothing; backend servers ran requests of callers that had left (GONE). Cause: the end of a caller's interest is read from the same socket as its request, after it. A VM without processor time reads both at once when it runs again, and the request was sent to a node before the connection was looked at a second time.

CallerPresence::checkLeft() asks the connection by poll(POLLRDHUP), which also finds a close behind bytes that are not read yet. RequestRelay asks before each attempt, so that retries of declined requests are covered too. Ruled out: time stamps of received bytes, which TCP offers only for the last segment; the measured delay of the event loop, which is an estimate, while the close is certain.

Failed before: RequestRelayTest.aRequestWhoseCallerHasClosedBehindItIsNotSent (all three parts).

--- a/src/libs/http/httpsession.cpp
+++ b/src/libs/http/httpsession.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -63,6 +64,14 @@
         close();
 }
 
+// On a busy VM, the close waits in the socket for as long as the request did.
+void HttpSession::closeIfCallerLeft()
+{
+    pollfd state{m_socket.native_handle(), POLLRDHUP, 0};
+    if (m_socket.is_open() && ::poll(&state, 1, 0) > 0)
+        close();
+}
+
 void HttpSession::close()
 {
     error_code ignored;
@@ -163,6 +172,10 @@
     const bool keepAlive = m_parser->get().keep_alive();
     m_exchanges.push_back({sequence, keepAlive, Clock::now() + m_group->settings.handlerTimeout,
                            std::make_shared<CallerPresence>(), nullptr});
+    m_exchanges.back().caller->setProbe([weak = weak_from_this()] {
+        if (const auto session = weak.lock())
+            session->closeIfCallerLeft();
+    });
     HttpRequest request = toHttpRequest(m_parser->release(), m_isFromLoopback);
     request.received = m_requestBegan;
     request.caller = m_exchanges.back().caller;
--- a/src/libs/http/httpsession.h
+++ b/src/libs/http/httpsession.h
@@ -41,6 +41,8 @@
     /*! Ends the connection when it exceeded a time limit. */
     void checkTime(Clock::time_point now);
     void closeIfIdle();
+    /*! Closes the connection if the caller has closed it, also behind input that is not read. */
+    void closeIfCallerLeft();
     void close();
 
 private:
--- a/src/libs/http/httptypes.h
+++ b/src/libs/http/httptypes.h
@@ -20,6 +20,17 @@
 public:
     bool hasLeft() const { return m_hasLeft; }
 
+    /*! Looks for a close that the connection has received but not read yet. Returns whether the
+     * caller has left; the action of onLeft() has been called then. */
+    bool checkLeft()
+    {
+        if (!m_hasLeft && m_probe)
+            m_probe();
+        return m_hasLeft;
+    }
+    /*! \a probe calls setLeft() if the caller has closed its connection. */
+    void setProbe(std::function<void()> probe) { m_probe = std::move(probe); }
+
     /*! Calls \a action when the caller leaves, or at once when it has left. */
     void onLeft(std::function<void()> action)
     {
@@ -47,6 +58,7 @@
     }
 
     std::function<void()> m_action;
+    std::function<void()> m_probe;
     bool m_hasLeft = false;
 };
 
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -128,6 +128,8 @@
 
 void RequestRelay::attempt(const ExchangePtr &exchange)
 {
+    if (exchange->request.caller && exchange->request.caller->checkLeft())
+        return;
     const auto node = chooseNode(*exchange);
     if (!node) {
         refuse(exchange, exchange->request.key ? NoOwnerRetryAfter : exchange->retryAfterHint,
--- a/tests/auto/relay/tst_requestrelay.cpp
+++ b/tests/auto/relay/tst_requestrelay.cpp
@@ -1,3 +1,5 @@
+#include "../http/eventloop.h"
+#include "http/httpserver.h"
 #include "relay/requestrelay.h"
 
 #include <gtest/gtest.h>
@@ -81,7 +83,9 @@
     }
 
     void begin(bool idempotent, std::chrono::milliseconds deadline = 500ms,
-               std::optional<std::uint32_t> key = std::nullopt)
+               std::optional<std::uint32_t> key = std::nullopt,
+               const std::shared_ptr<Http::CallerPresence> &caller
+               = std::make_shared<Http::CallerPresence>())
     {
         CallerRequest request;
         request.message.requestId = "r1";
@@ -93,7 +97,7 @@
         request.key = key;
         request.received = std::chrono::steady_clock::now();
         request.deadline = request.received + deadline;
-        request.caller = m_caller = std::make_shared<Http::CallerPresence>();
+        request.caller = m_caller = caller;
         m_relay.begin(std::move(request), [this](const RelayResult &result) { m_result = result; });
     }
 
@@ -221,6 +225,45 @@
     EXPECT_EQ(m_relay.pendingCount(), 0U);
 }
 
+// Guards against requests that are sent on after their callers have left. On a VM that had no
+// processor time for a second, the request and the close of its connection had both arrived when
+// the request was read; it was sent on before the connection was looked at again.
+TEST_F(RequestRelayTest, aRequestWhoseCallerHasClosedBehindItIsNotSent)
+{
+    std::vector<Http::HttpRequest> requests;
+    std::size_t beginCount = 0;
+    Http::HttpServerSettings settings;
+    settings.maxPipelined = 4;
+    auto server = Http::HttpServer::create(m_context, settings,
+                                           [&](Http::HttpRequest request, const Http::Reply &) {
+                                               ++beginCount;
+                                               begin(true, 500ms, std::nullopt, request.caller);
+                                               requests.push_back(std::move(request));
+                                           });
+    ASSERT_TRUE(server);
+    for (const std::string &bytes :
+         {std::string("GET /1 HTTP/1.1\r\n\r\n"),
+          std::string("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nIncompl")}) {
+        SCOPED_TRACE(bytes);
+        beginCount = 0;
+        Http::RawClient client(m_context, (*server)->port());
+        client.send(bytes);
+        client.close();
+        ASSERT_TRUE(Http::runUntil(m_context, [&] { return beginCount == 1; }));
+        EXPECT_TRUE(m_sent.empty());
+        EXPECT_EQ(m_relay.pendingCount(), 0U);
+    }
+
+    SCOPED_TRACE("a declined request is not offered to another node either");
+    Http::RawClient client(m_context, (*server)->port());
+    client.send("GET /1 HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(Http::runUntil(m_context, [&] { return m_sent.size() == 1; }));
+    client.close();
+    respondToLast(Outcome::NotRun, 0, "overloaded");
+    EXPECT_EQ(m_sent.size(), 1U);
+    EXPECT_EQ(m_relay.pendingCount(), 0U);
+}
+
 TEST_F(RequestRelayTest, aLostLinkIsUnknownForSentRequestsAndNotRunForUnsentOnes)
 {
     begin(false);
