HTTP: Notice a close behind input that is not read

A session that handles as many pipelined requests as it may, has read the last request of a connection, or belongs to a closing server, leaves further bytes in the socket.

The session now remembers that input is waiting and looks for the close behind it with the time limits of the server (every 100 ms). Waiting for readability again instead would return at once, since the input stays.

Failed before: HttpServerTest.aCallerThatLeavesBehindUnreadInputIsNoticed (all three cases).

--- a/src/libs/http/httpsession.cpp
+++ b/src/libs/http/httpsession.cpp
@@ -39,6 +39,11 @@
 {
     if (!m_socket.is_open())
         return;
+    if (m_input == Input::Watched && m_hasUnreadInput && !m_exchanges.empty()) {
+        closeIfCallerLeft();
+        if (!m_socket.is_open())
+            return;
+    }
     const bool isInputLate = m_input == Input::Idle ? m_exchanges.empty() && now >= m_inputLimit
                              : m_input == Input::Watched ? false
                                                          : now >= m_inputLimit;
@@ -100,10 +105,12 @@
         if (error || self->m_input != Input::Idle)
             return;
         // A server that closes reads nothing behind the requests that it still answers.
-        if (self->m_group->isClosing && !self->m_exchanges.empty())
+        if (self->m_group->isClosing && !self->m_exchanges.empty()) {
             self->m_input = Input::Watched;
-        else
+            self->m_hasUnreadInput = true;
+        } else {
             self->readBody();
+        }
     });
 }
 
@@ -186,6 +193,7 @@
                        });
     };
     m_input = Input::Watched;
+    m_hasUnreadInput = false;
     m_group->handler(std::move(request), std::move(reply));
     continueReading();
 }
@@ -206,11 +214,9 @@
     m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
         if (error || self->m_input != Input::Watched || self->m_exchanges.empty())
             return;
-        char byte = 0;
-        const auto count
-            = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
-            self->close();
+        // The socket stays readable while there is unread input; checkTime() looks on.
+        self->m_hasUnreadInput = true;
+        self->closeIfCallerLeft();
     });
 }
 
--- a/src/libs/http/httpsession.h
+++ b/src/libs/http/httpsession.h
@@ -91,6 +91,7 @@
     std::uint64_t m_sequence = 0; //!< of the last request
     std::array<char, 4096> m_discarded{};
     bool m_isWriting = false;
+    bool m_hasUnreadInput = false; //!< while Watched; hides a close from watchForLeaving()
     bool m_isFromLoopback = false;
 };
 
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -268,6 +268,43 @@
     }
 }
 
+// Guards against requests that are worked on for callers that have left, because the connection was
+// looked at only once while more requests waited behind those that may be handled at a time.
+TEST_F(HttpServerTest, aCallerThatLeavesBehindUnreadInputIsNoticed)
+{
+    settings.maxPipelined = 2;
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    start();
+    for (const std::string &bytes :
+         {request + request, request + "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"}) {
+        SCOPED_TRACE(bytes);
+        requests.clear();
+        RawClient client(context, server->port());
+        client.send(bytes);
+        ASSERT_TRUE(until([&] { return requests.size() == 2; }));
+        client.send(request);
+        context.restart();
+        context.run_for(50ms);
+        EXPECT_FALSE(requests[0].caller->hasLeft());
+        client.close();
+        EXPECT_TRUE(until([&] { return requests[0].caller->hasLeft(); }));
+        EXPECT_TRUE(requests[1].caller->hasLeft());
+    }
+
+    SCOPED_TRACE("the server is closing");
+    requests.clear();
+    RawClient client(context, server->port());
+    client.send(request);
+    ASSERT_TRUE(until([&] { return requests.size() == 1; }));
+    server->startClosing();
+    client.send(request);
+    context.restart();
+    context.run_for(50ms);
+    EXPECT_FALSE(requests[0].caller->hasLeft());
+    client.close();
+    EXPECT_TRUE(until([&] { return requests[0].caller->hasLeft(); }));
+}
+
 TEST_F(HttpServerTest, aClosingServerAnswersWhatItReadAndReadsNothingBehindIt)
 {
     settings.maxPipelined = 4;
