Relay: Do not write a request that was cancelled after it got a slot

For a caller on this VM, its close may besides have arrived without having been read.

LocalBackend now decides directly before the first byte is written, from the state of the request and the connection of its local caller. What has been written is treated as before.

Failed before (with the former decision at that place): LocalBackendTest .aRequestThatIsCancelledBeforeItIsWrittenDoesNotReachTheBackendServer, .aRequestWhoseCallerHasLeftIsNotWritten.

--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -93,7 +93,8 @@
 }
 
 std::uint64_t LocalBackend::handle(ForwardRequest request, Base::TimePoint deadline,
-                                   AnswerCallback done)
+                                   AnswerCallback done,
+                                   std::shared_ptr<Http::CallerPresence> caller)
 {
     const std::uint64_t handle = ++m_lastHandle;
     PendingRequest &pending = m_pending[handle];
@@ -103,6 +104,7 @@
     }
     pending.request = std::move(request);
     pending.done = std::move(done);
+    pending.caller = std::move(caller);
     pending.arrived = steadyNow();
     // The time that the request spent in the socket is unknown to the sender and counts as well.
     const bool isLagCurrent = pending.arrived - m_lagMeasuredAt <= m_eventLoopLag;
@@ -223,18 +225,29 @@
         send.maxIdle = std::chrono::milliseconds(-1);
     else if (!pending.request.idempotent)
         send.maxIdle = MaxIdleNonIdempotent;
-    send.prepare = [this, deadline = pending.deadline](Http::HttpRequest &request) {
-        const auto left
-            = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - steadyNow());
-        if (left.count() <= 0)
-            return false;
-        m_dialect.setTimeLeft(request, left);
-        return true;
-    };
+    send.prepare = [this, handle](Http::HttpRequest &request) { return prepare(handle, request); };
     send.done = [this, handle](Http::BackendResult result) { onResult(handle, std::move(result)); };
     pending.sendId = m_client->send(std::move(send));
 }
 
+// The request may have been cancelled while its connection was being made, and the close of a local
+// caller may have arrived without having been read.
+bool LocalBackend::prepare(std::uint64_t handle, Http::HttpRequest &request)
+{
+    const auto found = m_pending.find(handle);
+    if (found == m_pending.end())
+        return false;
+    const PendingRequest &pending = found->second;
+    if (pending.caller)
+        pending.caller->checkLeft();
+    const auto left
+        = std::chrono::duration_cast<std::chrono::milliseconds>(pending.deadline - steadyNow());
+    if (pending.isAbandoned || left.count() <= 0)
+        return false;
+    m_dialect.setTimeLeft(request, left);
+    return true;
+}
+
 void LocalBackend::onResult(std::uint64_t handle, Http::BackendResult result)
 {
     if (m_pending.count(handle) == 0)
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -61,11 +61,14 @@
     /*! The set of held keys has changed; rechecks the requests that wait for a key. */
     void onKeysChanged();
 
-    /*! The answer is of no use after \a deadline. Returns a handle for cancel(). */
+    /*! The answer is of no use after \a deadline. \a caller is set for requests of callers on this
+     * VM. Returns a handle for cancel(). */
     std::uint64_t handle(Messages::ForwardRequest request, Base::TimePoint deadline,
-                         AnswerCallback done);
-    /*! The answer is no longer needed; the callback is not called. A running request that is not
-     * idempotent still runs to completion. */
+                         AnswerCallback done,
+                         std::shared_ptr<Http::CallerPresence> caller = nullptr);
+    /*! The answer is no longer needed; the callback is not called. A request that has not been
+     * written to the BackendServer does not reach it. One that has and is not idempotent still runs
+     * to completion. */
     void cancel(std::uint64_t handle);
 
     // Queries
@@ -80,6 +83,7 @@
         Messages::ForwardRequest request;
         Base::TimePoint deadline;
         AnswerCallback done;
+        std::shared_ptr<Http::CallerPresence> caller; //!< empty for requests of other daemons
         std::optional<std::uint32_t> key;
         Gate::Ticket ticket = 0;
         bool isRunning = false;
@@ -97,6 +101,8 @@
     void postDispatch();
     void scheduleDispatch();
     void start(std::uint64_t handle);
+    /*! Called directly before the request is written. Returns whether it is still wanted. */
+    bool prepare(std::uint64_t handle, Http::HttpRequest &request);
     void onResult(std::uint64_t handle, Http::BackendResult result);
     void onBackendResponse(std::uint64_t handle, Http::HttpResponse response);
     void onBackendError(std::uint64_t handle, const Http::BackendError &error);
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -160,10 +160,12 @@
     if (node == m_fleet.self()) {
         const std::uint64_t stream = exchange->stream;
         const std::uint64_t handle = m_local.handle(
-            std::move(message), request.deadline, [this, stream](ForwardResponse answer) {
+            std::move(message), request.deadline,
+            [this, stream](ForwardResponse answer) {
                 answer.streamId = stream;
                 onResponse(m_fleet.self(), std::move(answer));
-            });
+            },
+            request.caller);
         if (exchange->stream == stream)
             exchange->localHandle = handle;
         return;
--- a/tests/auto/relay/tst_localbackend.cpp
+++ b/tests/auto/relay/tst_localbackend.cpp
@@ -30,6 +30,8 @@
         Http::HttpRequest result;
         result.method = "GET";
         result.target = '/' + request.requestId;
+        if (onStart)
+            onStart();
         return result;
     }
     void setTimeLeft(Http::HttpRequest & /*request*/,
@@ -40,6 +42,8 @@
     {
         return {};
     }
+
+    std::function<void()> onStart; //!< called when a request got a slot and is not written yet
 };
 
 /*! A BackendServer with one slot that never answers. */
@@ -63,16 +67,19 @@
         return settings;
     }
 
-    std::uint64_t handle(const std::string &id, unsigned priority = 1, Base::Duration timeout = 1h)
+    std::uint64_t handle(const std::string &id, unsigned priority = 1, Base::Duration timeout = 1h,
+                         bool idempotent = false,
+                         const std::shared_ptr<Http::CallerPresence> &caller = {})
     {
         ForwardRequest request;
         request.requestId = id;
+        request.idempotent = idempotent;
         request.service = "catalog";
         request.priority = priority;
         request.targetLeft = 1h;
         return m_local.handle(
             std::move(request), std::chrono::steady_clock::now() + timeout,
-            [this](const ForwardResponse &answer) { m_answers.push_back(answer); });
+            [this](const ForwardResponse &answer) { m_answers.push_back(answer); }, caller);
     }
 
     void run()
@@ -120,6 +127,38 @@
     EXPECT_TRUE(m_answers.empty());
 }
 
+// Guards against requests that are written to the BackendServer after they were cancelled, because
+// they had got a slot while their connection was still being made.
+TEST_F(LocalBackendTest, aRequestThatIsCancelledBeforeItIsWrittenDoesNotReachTheBackendServer)
+{
+    for (const bool idempotent : {false, true}) {
+        SCOPED_TRACE(idempotent);
+        std::uint64_t request = 0;
+        m_dialect.onStart = [&] { asio::post(m_context, [&] { m_local.cancel(request); }); };
+        request = handle("left", 1, 1h, idempotent);
+        EXPECT_EQ(received(), "");
+        EXPECT_EQ(m_local.pendingCount(), 0U) << "its slot is free again";
+        EXPECT_TRUE(m_answers.empty());
+    }
+    m_dialect.onStart = nullptr;
+    handle("next");
+    run();
+    EXPECT_EQ(m_local.gate().running(), 1U);
+}
+
+// Guards against requests of callers on this VM that have left while their requests waited for a
+// slot; the close has not been read when the slot becomes free.
+TEST_F(LocalBackendTest, aRequestWhoseCallerHasLeftIsNotWritten)
+{
+    const auto caller = std::make_shared<Http::CallerPresence>();
+    std::uint64_t request = 0;
+    caller->onLeft([&] { m_local.cancel(request); });
+    caller->setProbe([&] { caller->setLeft(); });
+    request = handle("left", 1, 1h, false, caller);
+    EXPECT_EQ(received(), "");
+    EXPECT_EQ(m_local.pendingCount(), 0U);
+}
+
 // Guards against urgent requests that wait for others which were read just before them.
 TEST_F(LocalBackendTest, theMostUrgentOfTheRequestsReadTogetherIsStartedFirst)
 {
