Peer: Take cancels on links whose send buffer is full

RequestRelay::cancelAttempt() ignored the result of the send. The bound of the buffer no longer applies to CancelRequest, which is smaller than the request that it ends, so the buffer grows by less than its requests.

Failed before: PeerLinksTest.peerThatDoesNotReadCannotGrowTheSendBuffer (new part). What remains: a cancel still waits behind what stands in the buffer already.

--- a/src/libs/peer/peerlinks.h
+++ b/src/libs/peer/peerlinks.h
@@ -34,7 +34,8 @@
     std::string listenAddress = "127.0.0.1";
     std::uint16_t listenPort = 0; //!< 0: any free port
     std::string credential;       //!< must be the same at both ends
-    /*! Frames that wait for a link are dropped by the sender above this size, per link. */
+    /*! Frames that wait for a link are dropped by the sender above this size, per link. A
+     * CancelRequest is never dropped. */
     std::size_t sendBufferBytes = std::size_t(8) * 1024 * 1024;
     std::size_t maxFrameBytes = Messages::MaxFrameBytes;
     std::size_t maxLinks = 2048;
--- a/src/libs/peer/websocketcore.cpp
+++ b/src/libs/peer/websocketcore.cpp
@@ -322,7 +322,8 @@
     const ConnectionPtr connection = link->connection.lock();
     if (!connection)
         return SendResult::NotConnected;
-    if (connection->get_buffered_amount() + frame.bytes.size() > m_settings.sendBufferBytes)
+    if (frame.isBounded
+        && connection->get_buffered_amount() + frame.bytes.size() > m_settings.sendBufferBytes)
         return SendResult::BufferFull;
     std::string packed;
     if (link->deflater) {
@@ -362,7 +363,7 @@
             return SendResult::NotConnected;
     }
     OutgoingFrame frame(message);
-    if (peer.pendingBytes + frame.bytes.size() > m_settings.sendBufferBytes)
+    if (frame.isBounded && peer.pendingBytes + frame.bytes.size() > m_settings.sendBufferBytes)
         return SendResult::BufferFull;
     peer.pendingBytes += frame.bytes.size();
     peer.pending.push_back(std::move(frame));
--- a/src/libs/peer/websocketcore.h
+++ b/src/libs/peer/websocketcore.h
@@ -27,11 +27,16 @@
 struct OutgoingFrame
 {
     explicit OutgoingFrame(const Messages::PeerMessage &message)
-        : bytes(Messages::encode(message)), body(Messages::bodyRange(message, bytes))
+        : bytes(Messages::encode(message))
+        , body(Messages::bodyRange(message, bytes))
+        , isBounded(!std::holds_alternative<Messages::CancelRequest>(message))
     {}
 
     std::string bytes;
     Messages::ByteRange body;
+    /*! Whether sendBufferBytes applies. A cancel is always taken: it is smaller than the request
+     * that it ends, and the receiver would work on that request to no use. */
+    bool isBounded = true;
 };
 
 /*! All links to one instance. */
--- a/tests/auto/peer/tst_peerlinks.cpp
+++ b/tests/auto/peer/tst_peerlinks.cpp
@@ -263,6 +263,14 @@
     }
     EXPECT_EQ(result, SendResult::BufferFull);
     EXPECT_LE(a->links->links()[0].bufferedBytes, BufferBytes);
+
+    SCOPED_TRACE("the peer would otherwise work on requests whose callers have left");
+    const std::size_t full = a->links->links()[0].bufferedBytes;
+    while (a->links->send(B, Messages::ObjectChanged{"k", 1, "v"}) == SendResult::Accepted)
+        continue;
+    EXPECT_EQ(a->links->send(B, Messages::CancelRequest{1, std::string(100, 'r')}),
+              SendResult::Accepted);
+    EXPECT_GT(a->links->links()[0].bufferedBytes, full);
 }
 
 TEST_F(PeerLinksTest, pendingMessagesOfALinkThatIsBeingOpenedAreBounded)
