KeyRange: Apply the changes of all nodes to one copy of the table

Changed rows that overlap each other are now refused; isolate() would have searched for a row that does not exist.

--- a/src/libs/keyrange/rangechanges.cpp
+++ b/src/libs/keyrange/rangechanges.cpp
@@ -46,19 +46,24 @@
 {
     if (change.version < m_historyStart)
         return false;
-    return std::none_of(
-        m_changedRanges.begin(), m_changedRanges.end(), [&](const ChangedRange &changed) {
-            return changed.version > change.version
-                   && std::any_of(rows.begin(), rows.end(), [&changed](const RangeRow &row) {
-                          return row.range.overlaps(changed.range);
-                      });
+    const auto firstLater
+        = std::upper_bound(m_changedRanges.begin(), m_changedRanges.end(), change.version,
+                           [](std::uint64_t version, const ChangedRange &changed) {
+                               return version < changed.version;
+                           });
+    return std::none_of(firstLater, m_changedRanges.end(), [&rows](const ChangedRange &changed) {
+        return std::any_of(rows.begin(), rows.end(), [&changed](const RangeRow &row) {
+            return row.range.overlaps(changed.range);
         });
+    });
 }
 
 std::optional<RangeTable> RangeChanges::applied(const RangeTable &table, std::uint64_t version)
 {
     const Epoch next = table.lastEpoch() + 1;
-    std::optional<RangeTable> result;
+    // All changes are made to one copy, since a copy for each of them would hold up the event loop.
+    std::vector<RangeRow> result = table.rows();
+    bool isChanged = false;
     std::vector<RangeChange> kept;
     for (RangeChange &change : m_pending) {
         if (change.version > version) {
@@ -70,14 +75,16 @@
             continue;
         for (RangeRow &row : *rows)
             row.epoch = next;
-        auto changed = (result ? *result : table).withRows(*rows, next);
-        if (!changed)
+        if (!replaceParts(result, *rows))
             continue;
-        result = std::move(*changed);
+        isChanged = true;
         kept.push_back(std::move(change));
     }
     m_pending = std::move(kept);
-    return result;
+    if (!isChanged)
+        return std::nullopt;
+    auto changed = RangeTable::create(std::move(result), next);
+    return changed ? std::optional<RangeTable>(std::move(*changed)) : std::nullopt;
 }
 
 } // namespace Medlar::KeyRange
--- a/src/libs/keyrange/rangetable.cpp
+++ b/src/libs/keyrange/rangetable.cpp
@@ -25,6 +25,15 @@
     return result;
 }
 
+/*! The row of \a key among \a rows that cover all keys. */
+std::vector<RangeRow>::const_iterator rowOf(const std::vector<RangeRow> &rows, Key key)
+{
+    return std::prev(
+        std::upper_bound(rows.begin(), rows.end(), key, [](Key searchKey, const RangeRow &row) {
+            return searchKey < row.range.first;
+        }));
+}
+
 bool isKey(const json &value)
 {
     return value.is_number_unsigned() && value.get<std::uint64_t>() <= LastKey;
@@ -140,16 +149,27 @@
     return std::move(parsed->rows);
 }
 
+bool replaceParts(std::vector<RangeRow> &rows, const std::vector<RangeRow> &parts)
+{
+    Key next = 0;
+    for (const RangeRow &part : parts) {
+        const bool isSorted = part.range.first >= next && part.range.first <= part.range.last;
+        if (!isSorted || part.range.last > LastKey || part.owner.empty()
+            || !rowOf(rows, part.range.first)->range.contains(part.range))
+            return false;
+        next = part.range.last + 1;
+    }
+    for (const RangeRow &part : parts)
+        rows[isolate(rows, part.range)] = part;
+    return true;
+}
+
 tl::expected<RangeTable, RangeTableError> RangeTable::withRows(const std::vector<RangeRow> &changed,
                                                                Epoch lastEpoch) const
 {
     std::vector<RangeRow> rows = m_rows;
-    for (const RangeRow &entry : changed) {
-        if (entry.range.last < entry.range.first || entry.range.last > LastKey
-            || !row(entry.range.first).range.contains(entry.range))
-            return failure("changed row does not lie within one existing row");
-        rows[isolate(rows, entry.range)] = entry;
-    }
+    if (!replaceParts(rows, changed))
+        return failure("changed rows are not sorted, or one does not lie within an existing row");
     return create(std::move(rows), lastEpoch);
 }
 
@@ -163,10 +183,7 @@
 
 const RangeRow &RangeTable::row(Key key) const
 {
-    const auto upper = std::upper_bound(
-        m_rows.begin(), m_rows.end(), key,
-        [](Key searchKey, const RangeRow &candidate) { return searchKey < candidate.range.first; });
-    return *std::prev(upper);
+    return *rowOf(m_rows, key);
 }
 
 std::vector<Range> subtracted(const Range &range, const std::vector<Range> &others)
@@ -191,10 +208,7 @@
 
 std::size_t isolate(std::vector<RangeRow> &rows, const Range &range)
 {
-    const auto found = std::find_if(rows.begin(), rows.end(), [&range](const RangeRow &row) {
-        return row.range.contains(range);
-    });
-    auto index = static_cast<std::size_t>(found - rows.begin());
+    auto index = static_cast<std::size_t>(rowOf(rows, range.first) - rows.begin());
     const RangeRow original = rows[index];
     const auto insertCopyAfter = [&rows, &original](std::size_t position) {
         rows.insert(rows.begin() + static_cast<std::ptrdiff_t>(position) + 1, original);
--- a/src/libs/keyrange/rangetable.h
+++ b/src/libs/keyrange/rangetable.h
@@ -81,7 +81,8 @@
 
     /*! Returns the rows in a \a delta created by deltaFrom(). */
     static tl::expected<std::vector<RangeRow>, RangeTableError> changedRows(std::string_view delta);
-    /*! Returns this table with \a changed rows. Each of them must lie within one existing row. */
+    /*! Returns this table with \a changed rows. They must be sorted, and each must lie within one
+     * existing row. */
     tl::expected<RangeTable, RangeTableError> withRows(const std::vector<RangeRow> &changed,
                                                        Epoch lastEpoch) const;
 
@@ -99,5 +100,8 @@
 /*! Splits the row that contains \a range so that \a range has a row of its own; returns the index
    of that row. \a range must lie within one row. */
 std::size_t isolate(std::vector<RangeRow> &rows, const Range &range);
+/*! Replaces \a parts of \a rows, which cover all keys. Returns false and changes nothing unless the
+   parts are sorted, have owners, and each lies within one row. */
+bool replaceParts(std::vector<RangeRow> &rows, const std::vector<RangeRow> &parts);
 
 } // namespace Medlar::KeyRange
--- a/tests/benchmarks/bench_keyrange.cpp
+++ b/tests/benchmarks/bench_keyrange.cpp
@@ -78,17 +78,17 @@
 void applyChangesOfAllNodes(benchmark::State &state)
 {
     const Service service(static_cast<std::size_t>(state.range(0)), 1.0);
-    std::vector<RangeRow> rows = service.table.rows();
+    RangeChanges pending;
+    pending.onTable(1, nullptr, service.table);
+    for (std::size_t i = 0; i < service.nodes.size(); ++i) {
+        RangeRow row = service.table.rows()[i];
+        row.owner = service.nodes[(i + 1) % service.nodes.size()].id;
+        row.epoch = 2;
+        const auto changed = service.table.withRows({row}, 2);
+        pending.add({1, changed->deltaFrom(service.table)});
+    }
     for (auto _ : state) {
-        RangeChanges changes;
-        changes.onTable(1, nullptr, service.table);
-        for (std::size_t i = 0; i < service.nodes.size(); ++i) {
-            RangeRow row = rows[i];
-            row.owner = service.nodes[(i + 1) % service.nodes.size()].id;
-            row.epoch = 2;
-            const auto changed = service.table.withRows({row}, 2);
-            changes.add({1, changed->deltaFrom(service.table)});
-        }
+        RangeChanges changes = pending;
         benchmark::DoNotOptimize(changes.applied(service.table, 1));
     }
 }
