Gate, Relay, KeyRange: Keep the limit that a backend server names

Callers saw nothing; backend servers in need got up to 3.5 times the requests per second that they had named (LIMIT). Cause: nothing read the header; the gate limits how many requests run, not how many start. Ruled out: retries and calls, since the rate did not change.

Only the daemon beside a server reaches it, so its gate keeps the rate (StartRate), from the first answer that names a limit to the first that names none; a request that is sent once more counts again. Requests that would wait too long are declined with the time until one more may start. Other daemons get the limit with the status, at once when it appears or ends: a limited server counts as having fewer slots in the choice of a node and in the plan of key ranges, so that requests and keys go elsewhere.

A key that is too hot for a limited node may now move to a node that has more slots.

New: BackendGate.requestsAreStartedAtTheRateThatTheBackendServerHasNamed, PlaceChooserTest.aBackendServerThatHasNamedALimitGetsFewRequests.

--- a/src/libs/gate/backendgate.cpp
+++ b/src/libs/gate/backendgate.cpp
@@ -73,6 +73,7 @@
 {
     m_condition = condition;
     m_condition.slots = std::max<std::uint32_t>(1, condition.slots);
+    m_startRate.setLimit(now, condition.maxRequestsPerSecond);
     removeOldStarts(now);
     const auto reason = declineReason();
     if (!reason)
@@ -126,6 +127,7 @@
     Base::Duration wait{0};
     if (ahead >= free)
         wait = (workAhead + meanRunningTime()) / static_cast<Base::Duration::rep>(limit);
+    wait = std::max(wait, m_startRate.wait(now, ahead));
     if (!m_condition.isCold)
         return wait;
     const auto recentStarts = static_cast<std::size_t>(
@@ -248,6 +250,8 @@
         return std::nullopt;
     if (m_condition.isCold && m_recentStarts.size() >= coldRequestLimit())
         return std::nullopt;
+    if (m_startRate.wait(now, 0) > Base::Duration::zero())
+        return std::nullopt;
     moveLateRequestsBack(now);
     while (!m_queue.empty()) {
         const auto first = m_queue.begin();
@@ -262,12 +266,18 @@
             continue;
         }
         m_running.emplace(ticket, std::move(route));
-        m_recentStarts.push_back(now);
+        countStart(now);
         return ticket;
     }
     return std::nullopt;
 }
 
+void BackendGate::countStart(Base::TimePoint now)
+{
+    m_recentStarts.push_back(now);
+    m_startRate.onStarted(now);
+}
+
 // Declines overtaken requests as soon as they can no longer be started in time, while a retry is
 // still possible. Otherwise late requests would wait behind all that arrive after them.
 std::vector<std::pair<Ticket, Decline>> BackendGate::takeDeclined(Base::TimePoint now)
@@ -336,6 +346,9 @@
                             request.deadline - scaled(expectedTime(request), MinTimeLeftFraction));
     if (m_condition.isCold && !m_recentStarts.empty())
         pollTime = std::min<Base::TimePoint>(pollTime, m_recentStarts.front() + ColdRateWindow);
+    // Otherwise a slot is missing, and onFinished() tells when there is one.
+    if (const Base::Duration wait = m_startRate.wait(now, 0); wait > Base::Duration::zero())
+        pollTime = std::min<Base::TimePoint>(pollTime, now + wait);
     return std::max(pollTime, now + std::chrono::milliseconds(1));
 }
 
--- a/src/libs/gate/backendgate.h
+++ b/src/libs/gate/backendgate.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "servicetimes.h"
+#include "startrate.h"
 
 #include <tl/expected.hpp>
 
@@ -55,6 +56,8 @@
     bool isCold = false;
     std::uint32_t slots = 1;
     double coldRequestsPerSecond = 0.0;
+    /*! Limit that the BackendServer itself has named; empty if none. */
+    std::optional<double> maxRequestsPerSecond;
 };
 
 /*!
@@ -69,6 +72,8 @@
     - Short and long requests for one BackendServer: the expected wait is the work of the requests
       that run and wait ahead, and each request needs the time that is usual on its route.
     - A cold BackendServer: the number of requests started per second is limited.
+    - A BackendServer in need that names how many requests per second it takes: requests beyond that
+      wait, or are declined with the time until one more may be started.
     - A BackendServer that declines some requests although it has free slots: it is not throttled,
       so that its slots stay in use.
 */
@@ -88,6 +93,8 @@
     std::vector<std::pair<Ticket, Decline>> takeDeclined(Base::TimePoint now);
     /*! Removes a request that its caller cancelled. Returns whether it was still waiting. */
     bool cancel(Ticket ticket);
+    /*! Counts a request that is sent to the BackendServer once more while it keeps its slot. */
+    void onSentAgain(Base::TimePoint now) { countStart(now); }
     /*! Frees the slot of a request that next() returned and that took \a elapsed. */
     void onFinished(Ticket ticket, Base::Duration elapsed, bool wasAnswered);
     /*! Called when the BackendServer declined a request. \a reportedLoad is the number of running
@@ -124,6 +131,7 @@
     std::uint32_t concurrencyLimit(Base::TimePoint now) const;
     std::uint32_t coldRequestLimit() const;
     void removeOldStarts(Base::TimePoint now);
+    void countStart(Base::TimePoint now);
     Base::Duration expectedTime(const GateRequest &request) const;
     Base::Duration meanRunningTime() const;
     Base::Duration expectedWait(Base::TimePoint now, std::size_t ahead,
@@ -140,6 +148,7 @@
     Queue m_queue;
     std::map<std::uint32_t, std::uint32_t> m_waitingByKey;
     std::vector<std::pair<Ticket, Decline>> m_declined;
+    StartRate m_startRate;
     std::deque<Base::TimePoint> m_recentStarts; //!< start times of the last second
     Ticket m_lastTicket = 0;
     std::unordered_map<Ticket, std::string> m_running; //!< routes of the requests in slots
--- a/src/libs/keyrange/rangeplanner.cpp
+++ b/src/libs/keyrange/rangeplanner.cpp
@@ -55,6 +55,8 @@
 // A range of this many keys needs twice the reduction of utilization of a single key for the
 // same score.
 constexpr double KeysForHalfScore = 2048.0;
+// Utilizations are relative to at least this number of slots.
+constexpr double MinSlots = 0.05;
 
 /*! Limits the load of a single key to the slots of the largest node. Requests beyond that are
     declined on every node, so they must not influence the plan. */
@@ -239,8 +241,8 @@
 {
     const double exponent = serviceTimeExponent(draft);
     for (auto &[id, state] : draft.nodes) {
-        state.weight
-            = std::pow(state.node.relativeServiceTime, exponent) / std::max(state.node.slots, 1.0);
+        state.weight = std::pow(state.node.relativeServiceTime, exponent)
+                       / std::max(state.node.slots, MinSlots);
         if (state.node.takesRanges)
             draft.targets.push_back(&state);
     }
@@ -394,13 +396,15 @@
         const auto row = draft.rowOf(piece->range);
         if (row == draft.rows.end() || !row->successor.empty())
             continue;
-        const bool isOverloadingKey
-            = piece->range.size() == 1 && piece->busySlots >= std::max(source.node.slots, 1.0);
+        const bool isSingleKey = piece->range.size() == 1;
         for (const NodeState *const target : draft.targets) {
             if (target == &source || target->rangeCount >= m_settings.maxRangesPerNode)
                 continue;
             // The key would overload the target as well, and it is unserved during the move. A move
             // is only useful to a node that completes more of its requests.
+            const bool isOverloadingKey = isSingleKey
+                                          && piece->busySlots >= std::max(target->node.slots, 1.0)
+                                          && target->node.slots <= source.node.slots;
             if (isOverloadingKey
                 && source.node.relativeServiceTime
                        < target->node.relativeServiceTime * m_settings.minSpeedup)
--- a/src/libs/keyrange/rangeplanner.h
+++ b/src/libs/keyrange/rangeplanner.h
@@ -18,7 +18,7 @@
     bool takesRanges = false;       //!< ready, and its zone is in service
     bool isStarting = false;        //!< its BackendServer has not reported yet
     bool mustReleaseRanges = false; //!< draining, evacuated, or lost for longer than a restart
-    double slots = 1.0;
+    double slots = 1.0; //!< below 1 if the BackendServer has named a low limit of requests
     double relativeServiceTime
         = 1.0; //!< service time relative to the mean of all nodes of the service
 };
@@ -63,8 +63,10 @@
 /*!
     Plans the moves of key ranges between nodes. It only sets successors; the owner of a range
    releases it, see RangeKeeper. Handles hot spots of adjacent keys and BackendServers that join,
-   leave or are lost. Balancing moves the pieces of ranges that RangeLoadMeter reports, preferably
-   those with a high load and few keys, because keys are briefly unserved while they change owner.
+   leave or are lost, and BackendServers that have named a limit of requests per second: they count
+   as having fewer slots, so that keys are moved away from them. Balancing moves the pieces of
+   ranges that RangeLoadMeter reports, preferably those with a high load and few keys, because keys
+   are briefly unserved while they change owner.
 */
 class RangePlanner
 {
--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -345,11 +345,12 @@
 template<>
 struct FieldList<NodeStatus>
 {
-    static constexpr auto Members = std::make_tuple(
-        &NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
-        &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
-        &NodeStatus::configurationVersion, &NodeStatus::rangeVersion,
-        &NodeStatus::evacuationRevision, &NodeStatus::evacuatedZones, &NodeStatus::reachesStore);
+    static constexpr auto Members
+        = std::make_tuple(&NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
+                          &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
+                          &NodeStatus::configurationVersion, &NodeStatus::rangeVersion,
+                          &NodeStatus::evacuationRevision, &NodeStatus::evacuatedZones,
+                          &NodeStatus::reachesStore, &NodeStatus::backendLimitThousandths);
 };
 
 template<>
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -255,6 +255,8 @@
     std::uint64_t evacuationRevision = 0; //!< of the store, at which the next field was true
     std::string evacuatedZones;           //!< separated by commas
     bool reachesStore = false;
+    /*! Limit that the BackendServer has named, in thousandths of a request per second; 0: none. */
+    std::uint64_t backendLimitThousandths = 0;
 };
 
 /*! Asks for an object of the store that the receiver knows in a newer version; answered by
--- a/src/libs/relay/backenddialect.h
+++ b/src/libs/relay/backenddialect.h
@@ -18,6 +18,17 @@
     std::uint32_t workPercent = 100; //!< current service time in percent of the usual one
 };
 
+/*! What a BackendServer says about itself in a response. */
+struct BackendNotice
+{
+    /*! Whether the response is known to be from the BackendServer, so that what it does not say no
+     * longer holds. */
+    bool isComplete = false;
+    /*! Requests per second that it takes from all nodes together; empty if it names none. */
+    std::optional<double> maxRequestsPerSecond;
+    std::string unreadableLimit; //!< a limit that is no number of requests; empty if none
+};
+
 /*! Classification of a response of the BackendServer. */
 enum class AnswerKind {
     Answered,
@@ -29,6 +40,7 @@
 {
     AnswerKind kind = AnswerKind::Unusable;
     std::optional<ReportedLoad> load;
+    BackendNotice notice;
     bool isOtherBackend = false; //!< another BackendServer now uses the address
     bool isKeyRefused = false;   //!< the BackendServer does not hold the key
 };
--- /dev/null
+++ b/src/libs/relay/backendnotices.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "backenddialect.h"
+
+#include <optional>
+
+namespace Medlar::Relay {
+
+/*!
+    What the present incarnation of a BackendServer has said about itself in its responses.
+    Handles the load pattern "a BackendServer in need names the requests per second that it takes":
+    the limit holds from the first response that names it to the first that does not.
+*/
+class BackendNotices
+{
+public:
+    // Commands
+
+    /*! Returns whether anything changed. A limit that cannot be read changes nothing: the last one
+     * that could be read is the best known. */
+    bool onResponse(const BackendNotice &notice);
+    /*! Another BackendServer uses the address, or the same one was started again. */
+    void reset() { *this = BackendNotices(); }
+
+    // Queries
+
+    std::optional<double> maxRequestsPerSecond() const { return m_maxRequestsPerSecond; }
+
+private:
+    std::optional<double> m_maxRequestsPerSecond;
+};
+
+} // namespace Medlar::Relay
--- a/src/libs/relay/fleetview.cpp
+++ b/src/libs/relay/fleetview.cpp
@@ -15,6 +15,16 @@
 
 } // namespace
 
+double NodeView::capacity(Base::Duration serviceTime) const
+{
+    constexpr double Thousandth = 0.001;
+    const double slots = std::max<std::uint32_t>(1, status.slots);
+    if (status.backendLimitThousandths == 0)
+        return slots;
+    const double perSecond = static_cast<double>(status.backendLimitThousandths) * Thousandth;
+    return std::min(slots, perSecond * std::chrono::duration<double>(serviceTime).count());
+}
+
 FleetView::FleetView(std::string self, const NodePlace &place) : m_self(std::move(self))
 {
     NodeView &view = m_nodes[m_self];
--- a/src/libs/relay/fleetview.h
+++ b/src/libs/relay/fleetview.h
@@ -38,6 +38,9 @@
     double failureRate = 0.0;      //!< moving average of the share of failed requests
     Base::TimePoint avoidUntil;    //!< set on a failure; the node is avoided until then
 
+    /*! Number of requests that the BackendServer can work on at a time when each takes \a
+     * serviceTime: its slots, or less if it has named a limit. */
+    double capacity(Base::Duration serviceTime) const;
     bool takesRequests() const
     {
         return isLinked
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -57,6 +57,9 @@
         closeIdleConnections();
     m_service = service;
     m_backendId = backendId;
+    ++m_incarnation;
+    m_notices.reset();
+    applyCondition();
 }
 
 void LocalBackend::closeIdleConnections()
@@ -68,18 +71,45 @@
 {
     if (m_isClosing)
         return;
-    m_gate.setCondition(steadyNow(), condition);
+    m_condition = condition;
+    applyCondition();
     if (condition.isPresent)
         m_consecutiveFailures = 0;
     dispatchRequests();
 }
 
+void LocalBackend::applyCondition()
+{
+    Gate::BackendCondition condition = m_condition;
+    condition.maxRequestsPerSecond = m_notices.maxRequestsPerSecond();
+    m_gate.setCondition(steadyNow(), condition);
+}
+
+// A response of an earlier BackendServer at the address says nothing about the present one.
+void LocalBackend::onNotice(const PendingRequest &pending, const BackendNotice &notice)
+{
+    if (pending.incarnation != m_incarnation)
+        return;
+    if (!notice.unreadableLimit.empty() && notice.unreadableLimit != m_unreadableLimit)
+        m_log.write(Base::LogLine("backend-limit-unreadable")
+                        .add("backend", m_backendId)
+                        .add("value", notice.unreadableLimit));
+    m_unreadableLimit = notice.unreadableLimit;
+    if (!m_notices.onResponse(notice))
+        return;
+    m_log.write(Base::LogLine("backend-notice")
+                    .add("backend", m_backendId)
+                    .add("limit_per_second", m_notices.maxRequestsPerSecond().value_or(0.0)));
+    applyCondition();
+    if (m_hooks.onNotice)
+        m_hooks.onNotice();
+}
+
 void LocalBackend::startClosing()
 {
     m_isClosing = true;
-    Gate::BackendCondition condition = m_gate.condition();
-    condition.isPresent = false;
-    m_gate.setCondition(steadyNow(), condition);
+    m_condition.isPresent = false;
+    applyCondition();
     onKeysChanged();
 }
 
@@ -216,7 +246,9 @@
     PendingRequest &pending = m_pending.at(handle);
     pending.isRunning = true;
     pending.started = steadyNow();
-    ++pending.sends;
+    pending.incarnation = m_incarnation;
+    if (++pending.sends > 1)
+        m_gate.onSentAgain(pending.started);
     Http::BackendRequest send;
     send.request = m_dialect.toBackend(pending.request, m_backendId);
     send.requestId = pending.request.requestId;
@@ -264,6 +296,8 @@
     const AnswerClassification classification = m_dialect.classify(response, m_backendId);
     const bool wasAnswered = classification.kind == AnswerKind::Answered;
     m_consecutiveFailures = 0;
+    if (!classification.isOtherBackend)
+        onNotice(m_pending.at(handle), classification.notice);
     ForwardResponse answer;
     if (classification.kind == AnswerKind::NotRun) {
         if (classification.isOtherBackend && m_hooks.onPossibleRestart)
--- a/src/libs/relay/localbackend.h
+++ b/src/libs/relay/localbackend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backenddialect.h"
+#include "backendnotices.h"
 #include "base/logline.h"
 #include "gate/backendgate.h"
 #include "http/backendclient.h"
@@ -31,6 +32,8 @@
     /*! Called when several connections in a row failed, or when another BackendServer responded at
      * the address; the BackendServer may have restarted. */
     std::function<void()> onPossibleRestart;
+    /*! Called when notices() has changed. The gate follows by itself. */
+    std::function<void()> onNotice;
 };
 
 using AnswerCallback = std::function<void(Messages::ForwardResponse)>;
@@ -52,6 +55,7 @@
 
     // Commands
 
+    /*! Called for each incarnation of the BackendServer. */
     void setService(const std::string &service, const std::string &backendId);
     void setCondition(const Gate::BackendCondition &condition);
     /*! Closes idle connections, which are stale after a restart of the BackendServer. */
@@ -74,6 +78,8 @@
     // Queries
 
     const Gate::BackendGate &gate() const { return m_gate; }
+    /*! What the present BackendServer has said about itself. */
+    const BackendNotices &notices() const { return m_notices; }
     std::size_t pendingCount() const { return m_pending.size(); }
     const Http::BackendCounters &connectionCounters() const { return m_client->counters(); }
 
@@ -91,10 +97,13 @@
         Base::TimePoint arrived;
         Base::TimePoint started;
         Http::BackendRequestId sendId = 0;
-        unsigned sends = 0; //!< number of times it was sent to the BackendServer
+        unsigned sends = 0;            //!< number of times it was sent to the BackendServer
+        std::uint64_t incarnation = 0; //!< of the BackendServer that it was sent to
     };
     using PendingRequestMap = std::unordered_map<std::uint64_t, PendingRequest>;
 
+    void applyCondition();
+    void onNotice(const PendingRequest &pending, const BackendNotice &notice);
     void admit(std::uint64_t handle);
     void dispatchRequests();
     /*! Dispatches after all messages that have been read already. */
@@ -124,6 +133,10 @@
     std::vector<std::uint64_t> m_awaitingKeys; //!< handles of the requests that wait for a key
     std::string m_service;
     std::string m_backendId;
+    std::uint64_t m_incarnation = 0;    //!< counts the BackendServers that setService() named
+    BackendNotices m_notices;           //!< of the incarnation
+    std::string m_unreadableLimit;      //!< in the last response; logged when it changes
+    Gate::BackendCondition m_condition; //!< as set, without the notices
     std::uint64_t m_lastHandle = 0;
     unsigned m_consecutiveFailures = 0;
     std::optional<Base::TimePoint> m_nextDispatch; //!< empty if no timer is set
--- a/src/libs/relay/placechooser.cpp
+++ b/src/libs/relay/placechooser.cpp
@@ -42,6 +42,15 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/*! Requests that a node can work on at a time; not 0, since costs are divided by it. */
+double capacity(const NodeView &node, double serviceMs)
+{
+    constexpr double MinCapacity = 0.01;
+    const std::chrono::duration<double, std::milli> serviceTime(serviceMs);
+    return std::max(MinCapacity,
+                    node.capacity(std::chrono::duration_cast<Base::Duration>(serviceTime)));
+}
+
 } // namespace
 
 PlaceChooser::PlaceChooser(std::string region, std::string availabilityZone, std::uint64_t seed)
@@ -52,9 +61,9 @@
                           const FleetView &fleet, const PlacementRequest &request,
                           double assumedServiceMs) const
 {
-    const double slots = std::max<std::uint32_t>(1, node.status.slots);
     const double serviceMs = node.load.serviceTime.count() > 0 ? milliseconds(node.load.serviceTime)
                                                                : assumedServiceMs;
+    const double slots = capacity(node, serviceMs);
     const double reported = node.load.running + node.load.waiting;
     const double reportWeight = std::clamp(
         1.0 - milliseconds(now - node.loadAt) / milliseconds(MaxLoadReportAge), 0.0, 1.0);
@@ -110,8 +119,7 @@
                                          ? milliseconds(node.load.serviceTime)
                                          : assumedServiceMs;
             local.push_back(candidate);
-            capacities.push_back(std::max<std::uint32_t>(1, node.status.slots)
-                                 / std::max(1.0, serviceMs));
+            capacities.push_back(capacity(node, serviceMs) / std::max(1.0, serviceMs));
         }
     }
     for (std::size_t i = 0; i < LocalSamples && i < local.size(); ++i) {
--- a/src/libs/relay/placechooser.h
+++ b/src/libs/relay/placechooser.h
@@ -27,11 +27,11 @@
     Chooses the node that serves a request of a service without keys. The load patterns that it
    handles are: the caller's region is full (other regions are used only if no node of the region is
    expected to respond in time), BackendServers differ in speed, a BackendServer fails part of its
-   requests, requests that are bound to some regions fill the BackendServers there while other
-   regions are idle (requests without such a binding are sent to the idle regions), and many daemons
-   choose by the same load reports, which are up to a second old (each compares only a few nodes
-   that it draws at random, so that they do not all choose the node that was idle at the last
-   report).
+   requests, a BackendServer has named a limit of requests per second (it counts as one with fewer
+   slots), requests that are bound to some regions fill the BackendServers there while other regions
+   are idle (requests without such a binding are sent to the idle regions), and many daemons choose
+   by the same load reports, which are up to a second old (each compares only a few nodes that it
+   draws at random, so that they do not all choose the node that was idle at the last report).
 */
 class PlaceChooser
 {
--- a/tests/auto/gate/tst_backendgate.cpp
+++ b/tests/auto/gate/tst_backendgate.cpp
@@ -518,4 +518,62 @@
     EXPECT_GE(declined.error().retryAfter, 150ms);
 }
 
+// Guards against a BackendServer that gets more requests than the limit that it has named, or fewer
+// than it would take. Load pattern: short requests arrive unevenly, in all twice as many.
+TEST(BackendGate, requestsAreStartedAtTheRateThatTheBackendServerHasNamed)
+{
+    constexpr double Limit = 26.3;
+    constexpr int Seconds = 20;
+    BackendCondition condition = readyCondition(11);
+    BackendGate gate = gateWithServiceTime(condition, 60ms);
+    condition.maxRequestsPerSecond = Limit;
+    gate.setCondition(Start, condition);
+    std::mt19937_64 random(5);
+    std::exponential_distribution<double> interval(2 * Limit);
+    std::vector<Base::TimePoint> starts;
+    std::multimap<Base::TimePoint, Ticket> ends;
+    Base::TimePoint nextArrival = Start;
+    int declined = 0;
+    for (Base::TimePoint now = Start; now < Start + std::chrono::seconds(Seconds); now += 1ms) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            gate.onFinished(ends.begin()->second, 60ms, true);
+            ends.erase(ends.begin());
+        }
+        while (nextArrival <= now) {
+            nextArrival += std::chrono::duration_cast<Base::Duration>(
+                std::chrono::duration<double>(interval(random)));
+            const auto ticket = gate.offer(now, routeRequest({}, 300ms, 1200ms, 1, now));
+            if (ticket)
+                continue;
+            ++declined;
+            EXPECT_GT(ticket.error().retryAfter, 0ms);
+        }
+        while (const auto ticket = gate.next(now)) {
+            starts.push_back(now);
+            ends.emplace(now + 60ms, *ticket);
+        }
+        declined += static_cast<int>(gate.takeDeclined(now).size());
+    }
+    EXPECT_GT(declined, 0);
+    EXPECT_GE(static_cast<double>(starts.size()), 0.9 * Limit * Seconds);
+    for (const Base::TimePoint first : starts) {
+        const auto inFourSeconds
+            = std::count_if(starts.begin(), starts.end(), [first](Base::TimePoint start) {
+                  return start >= first && start < first + 4s;
+              });
+        ASSERT_LE(static_cast<double>(inFourSeconds), 1.5 * Limit * 4 + 5);
+    }
+
+    SCOPED_TRACE("a request that is sent once more counts again");
+    BackendGate repeating;
+    condition.maxRequestsPerSecond = 1.0;
+    repeating.setCondition(Start, condition);
+    repeating.onSentAgain(Start);
+    EXPECT_TRUE(repeating.offer(Start, routeRequest({}, 2s, 3s)));
+    EXPECT_FALSE(repeating.next(Start));
+    EXPECT_GT(repeating.nextPollTime(Start + 970ms), Start + 999ms);
+    EXPECT_LE(repeating.nextPollTime(Start + 970ms), Start + 1s);
+    EXPECT_TRUE(repeating.next(Start + 1s));
+}
+
 } // namespace Medlar::Gate
--- a/tests/auto/keyrange/tst_rangeplanner.cpp
+++ b/tests/auto/keyrange/tst_rangeplanner.cpp
@@ -403,6 +403,37 @@
     EXPECT_LT(elapsed, MaxTime * BuildSlowdown);
 }
 
+// Guards against keys that stay with a BackendServer which has named a limit of a few requests per
+// second: no other one may serve them, so their requests are declined while other nodes are idle.
+TEST(RangePlanner, aNodeWithALowLimitGivesItsKeysAway)
+{
+    constexpr std::size_t Nodes = 6;
+    std::vector<RangeNode> fleet = nodes(Nodes);
+    RangePlanner planner;
+    RangeTable table = *planner.initialTable(fleet);
+    const std::string limited = table.rows().front().owner;
+    std::vector<RangeLoad> loads;
+    for (const RangeRow &row : table.rows()) {
+        const Key middle = row.range.first + row.range.size() / 2;
+        loads.push_back({{row.range.first, middle}, 0.1});
+        // One key has more demand than the limit of the node allows, but less than others can
+        // serve.
+        loads.push_back({{middle + 1, middle + 1}, 0.5});
+    }
+    fleet.front().slots = 0.4;
+    ASSERT_EQ(fleet.front().id, limited);
+    Base::TimePoint now = Start;
+    for (int round = 0; round < 4; ++round) {
+        now += 3s;
+        if (const auto plan = planner.plan(now, table, fleet, loads))
+            table = withCompletedMoves(*plan);
+    }
+    double left = 0.0;
+    for (const RangeLoad &load : loads)
+        left += table.row(load.range.first).owner == limited ? load.busySlots : 0.0;
+    EXPECT_LE(left, 0.6) << "it owned 4.8 busy slots";
+}
+
 TEST(RangeLoadMeter, rangesAreSplitAroundBusyKeys)
 {
     RangeLoadMeter meter;
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -149,6 +149,22 @@
     EXPECT_EQ(choices(m_request)[""], 100) << "the node now serves another service";
 }
 
+// Guards against requests that are sent to a BackendServer beyond the limit that it has named,
+// while others of the region have room.
+TEST_F(PlaceChooserTest, aBackendServerThatHasNamedALimitGetsFewRequests)
+{
+    Messages::NodeStatus limited = status("catalog");
+    limited.backendLimitThousandths = 5000;
+    m_fleet.onStatus(Start, "near", limited);
+    EXPECT_GT(choices(m_request)["next"], 80);
+    EXPECT_EQ(choices(m_request).count("far"), 0U);
+
+    SCOPED_TRACE("the limit counts less than the slots of a BackendServer only if it is lower");
+    limited.backendLimitThousandths = 1000000;
+    m_fleet.onStatus(Start, "near", limited);
+    EXPECT_GT(choices(m_request)["near"], 20);
+}
+
 TEST_F(PlaceChooserTest, equalNodesShareTheRequests)
 {
     m_fleet.onLoad(Start, "next", {0, 0, 50ms, 50ms});
