Relay, Platform: Stop sending to a backend server whose answers say that it leaves

A backend server that leaves says so in all its answers (Server-Leaving). The gate now declines from the first such answer on, all daemons are told at once, and key ranges move as for a draining server. It ends only with the incarnation: answers of an earlier one at the same address are ignored.

Operators of similar systems reported that a server that had left was in use again after a process restarted. It could happen here: a restarted daemon knows only the heartbeats of its server, which may say that it is ready. The status now names the life of the server, and other daemons remember the id and life of the one that leaves, so its node counts as draining until another incarnation reports. A daemon that stops does not make its server leave.

Failed before: BackendNoticesTest.aBackendServerThatSaysInAnAnswerThatItLeavesGetsNoMoreRequests (20 of 20 requests), PlaceChooserTest.aLeavingBackendServerIsNotUsedAgainWhenItsDaemonRestarts (without the memory).

--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -350,7 +350,8 @@
                           &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
                           &NodeStatus::configurationVersion, &NodeStatus::rangeVersion,
                           &NodeStatus::evacuationRevision, &NodeStatus::evacuatedZones,
-                          &NodeStatus::reachesStore, &NodeStatus::backendLimitThousandths);
+                          &NodeStatus::reachesStore, &NodeStatus::backendLife,
+                          &NodeStatus::isBackendLeaving, &NodeStatus::backendLimitThousandths);
 };
 
 template<>
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -255,6 +255,9 @@
     std::uint64_t evacuationRevision = 0; //!< of the store, at which the next field was true
     std::string evacuatedZones;           //!< separated by commas
     bool reachesStore = false;
+    std::uint64_t backendLife = 0; //!< distinguishes the starts of BackendServers with the same id
+    /*! The BackendServer has said that it leaves, which it does not take back in this life. */
+    bool isBackendLeaving = false;
     /*! Limit that the BackendServer has named, in thousandths of a request per second; 0: none. */
     std::uint64_t backendLimitThousandths = 0;
 };
--- a/src/libs/relay/backenddialect.h
+++ b/src/libs/relay/backenddialect.h
@@ -24,6 +24,7 @@
     /*! Whether the response is known to be from the BackendServer, so that what it does not say no
      * longer holds. */
     bool isComplete = false;
+    bool isLeaving = false;
     /*! Requests per second that it takes from all nodes together; empty if it names none. */
     std::optional<double> maxRequestsPerSecond;
     std::string unreadableLimit; //!< a limit that is no number of requests; empty if none
--- a/src/libs/relay/backendnotices.h
+++ b/src/libs/relay/backendnotices.h
@@ -10,6 +10,7 @@
     What the present incarnation of a BackendServer has said about itself in its responses.
     Handles the load pattern "a BackendServer in need names the requests per second that it takes":
     the limit holds from the first response that names it to the first that does not.
+    A BackendServer that leaves stays leaving until the next incarnation.
 */
 class BackendNotices
 {
@@ -24,9 +25,11 @@
 
     // Queries
 
+    bool isLeaving() const { return m_isLeaving; }
     std::optional<double> maxRequestsPerSecond() const { return m_maxRequestsPerSecond; }
 
 private:
+    bool m_isLeaving = false;
     std::optional<double> m_maxRequestsPerSecond;
 };
 
--- a/src/libs/relay/fleetview.cpp
+++ b/src/libs/relay/fleetview.cpp
@@ -77,6 +77,12 @@
         view.avoidUntil = now;
     }
     view.status = status;
+    const std::pair<std::string, std::uint64_t> backend{status.backend, status.backendLife};
+    if (status.isBackendLeaving)
+        view.leavingBackend = backend;
+    view.status.isBackendLeaving = !status.backend.empty() && view.leavingBackend == backend;
+    if (view.status.isBackendLeaving && view.status.state != Messages::BackendState::Absent)
+        view.status.state = Messages::BackendState::Draining;
 }
 
 void FleetView::onLoad(Base::TimePoint now, const std::string &node, const Messages::NodeLoad &load)
--- a/src/libs/relay/fleetview.h
+++ b/src/libs/relay/fleetview.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace Medlar::Relay {
 
@@ -37,6 +38,9 @@
     std::uint32_t outstanding = 0; //!< requests sent by this daemon and not yet answered
     double failureRate = 0.0;      //!< moving average of the share of failed requests
     Base::TimePoint avoidUntil;    //!< set on a failure; the node is avoided until then
+    /*! Id and life of the BackendServer of this node that has said that it leaves. Kept while the
+     * daemon there restarts, which forgets it. */
+    std::pair<std::string, std::uint64_t> leavingBackend;
 
     /*! Number of requests that the BackendServer can work on at a time when each takes \a
      * serviceTime: its slots, or less if it has named a limit. */
--- a/src/libs/relay/localbackend.cpp
+++ b/src/libs/relay/localbackend.cpp
@@ -81,6 +81,7 @@
 void LocalBackend::applyCondition()
 {
     Gate::BackendCondition condition = m_condition;
+    condition.isDraining = condition.isDraining || m_notices.isLeaving();
     condition.maxRequestsPerSecond = m_notices.maxRequestsPerSecond();
     m_gate.setCondition(steadyNow(), condition);
 }
@@ -99,6 +100,7 @@
         return;
     m_log.write(Base::LogLine("backend-notice")
                     .add("backend", m_backendId)
+                    .add("leaving", m_notices.isLeaving())
                     .add("limit_per_second", m_notices.maxRequestsPerSecond().value_or(0.0)));
     applyCondition();
     if (m_hooks.onNotice)
--- a/tests/auto/platform/tst_backendnotices.cpp
+++ b/tests/auto/platform/tst_backendnotices.cpp
@@ -140,6 +140,22 @@
     EXPECT_GE(offer(50).received, 40U);
 }
 
+// Guards against requests to a BackendServer that has said in its answers that it leaves, while
+// its heartbeats do not say so.
+TEST_F(BackendNoticesTest, aBackendServerThatSaysInAnAnswerThatItLeavesGetsNoMoreRequests)
+{
+    m_notices = {{"Server-Leaving", "1"}};
+    learnNotices();
+    EXPECT_EQ(offer(20).received, 0U);
+    ASSERT_FALSE(m_declined.empty());
+    EXPECT_EQ(m_declined.back().error, "backend-draining");
+
+    SCOPED_TRACE("another incarnation does not leave");
+    m_notices.clear();
+    m_local->setService("catalog", "i-1");
+    EXPECT_GE(offer(20).received, 10U);
+}
+
 // Guards against limits that are no number of requests: they change nothing and are logged once.
 TEST_F(BackendNoticesTest, aLimitThatIsNoNumberOfRequestsIsLoggedAndChangesNothing)
 {
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -165,6 +165,34 @@
     EXPECT_GT(choices(m_request)["near"], 20);
 }
 
+// Guards against requests to a BackendServer that has said that it leaves after the daemon beside
+// it was restarted, which does not know that; heartbeats do not say so.
+TEST_F(PlaceChooserTest, aLeavingBackendServerIsNotUsedAgainWhenItsDaemonRestarts)
+{
+    Messages::NodeStatus leaving = status("catalog", BackendState::Draining);
+    leaving.backendLife = 1000;
+    leaving.isBackendLeaving = true;
+    m_fleet.onStatus(Start, "near", leaving);
+    m_fleet.setLinked(Start, "near", false);
+    m_fleet.setLinked(Start, "near", true);
+    Messages::NodeStatus ready = status("catalog");
+    ready.backendLife = 1000;
+    m_fleet.onStatus(Start, "near", ready);
+    EXPECT_EQ(choices(m_request).count("near"), 0U);
+
+    SCOPED_TRACE("a daemon that stops does not make its BackendServer leave");
+    ready.state = BackendState::Draining;
+    m_fleet.onStatus(Start, "next", ready);
+    ready.state = BackendState::Ready;
+    m_fleet.onStatus(Start, "next", ready);
+    EXPECT_EQ(choices(m_request).count("next"), 1U);
+
+    SCOPED_TRACE("a BackendServer that was started again under the same id is used");
+    ready.backendLife = 2000;
+    m_fleet.onStatus(Start, "near", ready);
+    EXPECT_EQ(choices(m_request).count("near"), 1U);
+}
+
 TEST_F(PlaceChooserTest, equalNodesShareTheRequests)
 {
     m_fleet.onLoad(Start, "next", {0, 0, 50ms, 50ms});
