Messages, Relay: Send what a backend server says about itself as a message of its own

The limit and the leaving of a backend server were added to NodeStatus, which opens each link: daemons of an earlier build reject the longer message, so that no link between both builds would have lasted during an upgrade. They are now a NodeNotice, sent only when a server has named a limit or leaves. The life of the server is part of its name in the status. A limit is forgotten when a link ends, since a restarted daemon knows of none that has ended.

Tests: PlaceChooserTest.aBackendServerThatHasNamedALimitGetsFewRequests has two more cases, .aLeavingBackendServerIsNotUsedAgainWhenItsDaemonRestarts checks as before.

--- a/src/libs/messages/messagefields.h
+++ b/src/libs/messages/messagefields.h
@@ -345,13 +345,11 @@
 template<>
 struct FieldList<NodeStatus>
 {
-    static constexpr auto Members
-        = std::make_tuple(&NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
-                          &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
-                          &NodeStatus::configurationVersion, &NodeStatus::rangeVersion,
-                          &NodeStatus::evacuationRevision, &NodeStatus::evacuatedZones,
-                          &NodeStatus::reachesStore, &NodeStatus::backendLife,
-                          &NodeStatus::isBackendLeaving, &NodeStatus::backendLimitThousandths);
+    static constexpr auto Members = std::make_tuple(
+        &NodeStatus::region, &NodeStatus::availabilityZone, &NodeStatus::service,
+        &NodeStatus::backend, &NodeStatus::state, &NodeStatus::slots,
+        &NodeStatus::configurationVersion, &NodeStatus::rangeVersion,
+        &NodeStatus::evacuationRevision, &NodeStatus::evacuatedZones, &NodeStatus::reachesStore);
 };
 
 template<>
@@ -391,6 +389,13 @@
         = std::make_tuple(&RangeChange::key, &RangeChange::baseVersion, &RangeChange::delta);
 };
 
+template<>
+struct FieldList<NodeNotice>
+{
+    static constexpr auto Members = std::make_tuple(&NodeNotice::backend, &NodeNotice::isLeaving,
+                                                    &NodeNotice::limitThousandths);
+};
+
 template<>
 struct FieldList<KeyRangeLoads>
 {
--- a/src/libs/messages/peermessages.h
+++ b/src/libs/messages/peermessages.h
@@ -247,7 +247,7 @@
     std::string region;
     std::string availabilityZone;
     std::string service;
-    std::string backend; //!< id of the BackendServer
+    std::string backend; //!< id and start time of the BackendServer
     BackendState state = BackendState::Absent;
     std::uint32_t slots = 0;
     std::uint64_t configurationVersion = 0;
@@ -255,11 +255,6 @@
     std::uint64_t evacuationRevision = 0; //!< of the store, at which the next field was true
     std::string evacuatedZones;           //!< separated by commas
     bool reachesStore = false;
-    std::uint64_t backendLife = 0; //!< distinguishes the starts of BackendServers with the same id
-    /*! The BackendServer has said that it leaves, which it does not take back in this life. */
-    bool isBackendLeaving = false;
-    /*! Limit that the BackendServer has named, in thousandths of a request per second; 0: none. */
-    std::uint64_t backendLimitThousandths = 0;
 };
 
 /*! Asks for an object of the store that the receiver knows in a newer version; answered by
@@ -278,6 +273,24 @@
     std::chrono::microseconds usualServiceTime{0}; //!< mean over a longer time
 };
 
+/*! What the BackendServer of the sender has said about itself. Not sent as long as it has said
+   nothing, since daemons of earlier builds end the link when they get it. */
+struct NodeNotice
+{
+    std::string backend; //!< as in NodeStatus
+    /*! The BackendServer leaves, which it does not take back. */
+    bool isLeaving = false;
+    /*! Requests that it takes in 1,000 seconds from all nodes together; 0: it has named no limit.
+     */
+    std::uint64_t limitThousandths = 0;
+};
+
+inline bool operator==(const NodeNotice &a, const NodeNotice &b)
+{
+    return a.backend == b.backend && a.isLeaving == b.isLeaving
+           && a.limitThousandths == b.limitThousandths;
+}
+
 /*! A call to the object store that the receiver makes for the sender, which is turned away or
     shares its reads with others. */
 struct StoreCall
@@ -336,6 +349,6 @@
                    SealPromise, Sealed, ReleaseRequest, Released, EntriesChanged, ObjectDelta,
                    ObjectChanged, Digest, DigestReply, Acknowledged, ForwardRequest,
                    ForwardResponse, CancelRequest, LoadSummary, SlotsServed, NodeStatus, NodeLoad,
-                   StoreCall, StoreReply, KeyRangeLoads, ObjectRequest, RangeChange>;
+                   StoreCall, StoreReply, KeyRangeLoads, ObjectRequest, RangeChange, NodeNotice>;
 
 } // namespace Medlar::Messages
--- a/src/libs/relay/fleetview.cpp
+++ b/src/libs/relay/fleetview.cpp
@@ -19,9 +19,9 @@
 {
     constexpr double Thousandth = 0.001;
     const double slots = std::max<std::uint32_t>(1, status.slots);
-    if (status.backendLimitThousandths == 0)
+    if (notice.limitThousandths == 0 || notice.backend != status.backend)
         return slots;
-    const double perSecond = static_cast<double>(status.backendLimitThousandths) * Thousandth;
+    const double perSecond = static_cast<double>(notice.limitThousandths) * Thousandth;
     return std::min(slots, perSecond * std::chrono::duration<double>(serviceTime).count());
 }
 
@@ -64,6 +64,9 @@
         return;
     view.status.state = Messages::BackendState::Absent;
     view.outstanding = 0;
+    // A daemon that restarts learns the limit from the next answer, and does not send that it
+    // ended.
+    view.notice.limitThousandths = 0;
     if (!view.isRegistered)
         m_nodes.erase(node);
 }
@@ -77,11 +80,22 @@
         view.avoidUntil = now;
     }
     view.status = status;
-    const std::pair<std::string, std::uint64_t> backend{status.backend, status.backendLife};
-    if (status.isBackendLeaving)
-        view.leavingBackend = backend;
-    view.status.isBackendLeaving = !status.backend.empty() && view.leavingBackend == backend;
-    if (view.status.isBackendLeaving && view.status.state != Messages::BackendState::Absent)
+    applyNotice(view);
+}
+
+void FleetView::onNotice(const std::string &node, const Messages::NodeNotice &notice)
+{
+    NodeView &view = m_nodes[node];
+    const bool wasLeaving = view.notice.isLeaving && view.notice.backend == notice.backend;
+    view.notice = notice;
+    view.notice.isLeaving = notice.isLeaving || wasLeaving;
+    applyNotice(view);
+}
+
+void FleetView::applyNotice(NodeView &view)
+{
+    const bool isLeaving = view.notice.isLeaving && view.notice.backend == view.status.backend;
+    if (isLeaving && view.status.state != Messages::BackendState::Absent)
         view.status.state = Messages::BackendState::Draining;
 }
 
--- a/src/libs/relay/fleetview.h
+++ b/src/libs/relay/fleetview.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 
 namespace Medlar::Relay {
 
@@ -38,9 +37,9 @@
     std::uint32_t outstanding = 0; //!< requests sent by this daemon and not yet answered
     double failureRate = 0.0;      //!< moving average of the share of failed requests
     Base::TimePoint avoidUntil;    //!< set on a failure; the node is avoided until then
-    /*! Id and life of the BackendServer of this node that has said that it leaves. Kept while the
-     * daemon there restarts, which forgets it. */
-    std::pair<std::string, std::uint64_t> leavingBackend;
+    /*! What a BackendServer of this node has said about itself; not necessarily the present one.
+     * That it leaves is kept while the daemon there restarts, which forgets it. */
+    Messages::NodeNotice notice;
 
     /*! Number of requests that the BackendServer can work on at a time when each takes \a
      * serviceTime: its slots, or less if it has named a limit. */
@@ -65,6 +64,7 @@
     void setUnregistered(const std::string &node);
     void setLinked(Base::TimePoint now, const std::string &node, bool isLinked);
     void onStatus(Base::TimePoint now, const std::string &node, const Messages::NodeStatus &status);
+    void onNotice(const std::string &node, const Messages::NodeNotice &notice);
     void onLoad(Base::TimePoint now, const std::string &node, const Messages::NodeLoad &load);
     void onSent(const std::string &node);
     /*! Records the end of a request. \a hasFailed: it counts as a failure of the node. */
@@ -85,6 +85,8 @@
     const NodeView *findRangeOwner(const std::string &id, std::string *name = nullptr) const;
 
 private:
+    static void applyNotice(NodeView &view);
+
     std::string m_self;
     std::map<std::string, NodeView> m_nodes;
 };
--- a/tests/auto/relay/tst_placechooser.cpp
+++ b/tests/auto/relay/tst_placechooser.cpp
@@ -153,15 +153,23 @@
 // while others of the region have room.
 TEST_F(PlaceChooserTest, aBackendServerThatHasNamedALimitGetsFewRequests)
 {
-    Messages::NodeStatus limited = status("catalog");
-    limited.backendLimitThousandths = 5000;
-    m_fleet.onStatus(Start, "near", limited);
+    m_fleet.onNotice("near", {"backend", false, 5000});
     EXPECT_GT(choices(m_request)["next"], 80);
     EXPECT_EQ(choices(m_request).count("far"), 0U);
 
-    SCOPED_TRACE("the limit counts less than the slots of a BackendServer only if it is lower");
-    limited.backendLimitThousandths = 1000000;
-    m_fleet.onStatus(Start, "near", limited);
+    SCOPED_TRACE("a limit above what the slots serve does not count");
+    m_fleet.onNotice("near", {"backend", false, 1000000});
+    EXPECT_GT(choices(m_request)["near"], 20);
+
+    SCOPED_TRACE("the limit of another incarnation does not count");
+    m_fleet.onNotice("near", {"former", false, 5000});
+    EXPECT_GT(choices(m_request)["near"], 20);
+
+    SCOPED_TRACE("a limit is forgotten when the link ends: a daemon that restarts knows none");
+    m_fleet.onNotice("near", {"backend", false, 5000});
+    m_fleet.setLinked(Start, "near", false);
+    m_fleet.setLinked(Start, "near", true);
+    m_fleet.onStatus(Start, "near", status("catalog"));
     EXPECT_GT(choices(m_request)["near"], 20);
 }
 
@@ -169,26 +177,23 @@
 // it was restarted, which does not know that; heartbeats do not say so.
 TEST_F(PlaceChooserTest, aLeavingBackendServerIsNotUsedAgainWhenItsDaemonRestarts)
 {
-    Messages::NodeStatus leaving = status("catalog", BackendState::Draining);
-    leaving.backendLife = 1000;
-    leaving.isBackendLeaving = true;
-    m_fleet.onStatus(Start, "near", leaving);
+    m_fleet.onNotice("near", {"backend", true, 0});
+    EXPECT_EQ(choices(m_request).count("near"), 0U);
     m_fleet.setLinked(Start, "near", false);
     m_fleet.setLinked(Start, "near", true);
     Messages::NodeStatus ready = status("catalog");
-    ready.backendLife = 1000;
     m_fleet.onStatus(Start, "near", ready);
     EXPECT_EQ(choices(m_request).count("near"), 0U);
+    m_fleet.onNotice("near", {"backend", false, 5000});
+    EXPECT_EQ(choices(m_request).count("near"), 0U) << "it does not take that back";
 
     SCOPED_TRACE("a daemon that stops does not make its BackendServer leave");
-    ready.state = BackendState::Draining;
-    m_fleet.onStatus(Start, "next", ready);
-    ready.state = BackendState::Ready;
+    m_fleet.onStatus(Start, "next", status("catalog", BackendState::Draining));
     m_fleet.onStatus(Start, "next", ready);
     EXPECT_EQ(choices(m_request).count("next"), 1U);
 
-    SCOPED_TRACE("a BackendServer that was started again under the same id is used");
-    ready.backendLife = 2000;
+    SCOPED_TRACE("a BackendServer that was started again is used");
+    ready.backend = "backend/2";
     m_fleet.onStatus(Start, "near", ready);
     EXPECT_EQ(choices(m_request).count("near"), 1U);
 }
