Relay, Platform: Remember a leave that comes before the first heartbeat

Cause: the daemon beside it was restarted at 24.51 s, and the server took its leave at 25.491 s, before its first heartbeat to the new process. The leave was acknowledged, but kept only for a server that was known; the heartbeat at 28.2 s said that it was ready, and requests were sent. Ruled out: the new notices, since the server does not state Server-Leaving there in any log line (backend-notice), and the same lines of code were there before.

BackendLife now holds what tells incarnations apart (before in SidecarDaemon) and which of them have left: by id and life, or by id for the next heartbeat if the leave states no life.

--- /dev/null
+++ b/src/libs/relay/backendlife.cpp
@@ -0,0 +1,58 @@
+#include "backendlife.h"
+
+namespace Medlar::Relay {
+
+namespace {
+
+// One BackendServer at a time uses the address of a VM; more ids than this come from faulty
+// reports.
+constexpr std::size_t MaxRemembered = 64;
+
+} // namespace
+
+std::string BackendLife::incarnationOf(const std::string &backend, std::uint64_t life)
+{
+    return backend + '/' + std::to_string(life);
+}
+
+BackendLife::Report BackendLife::onHeartbeat(const std::string &backend, std::uint64_t life,
+                                             std::uint64_t sequence)
+{
+    const bool isKnown = !m_incarnation.empty();
+    const bool isNew = !isKnown || backend != m_backend || life != m_life;
+    if (isKnown && (isNew ? life < m_life : sequence < m_sequence))
+        return Report::Stale;
+    m_backend = backend;
+    m_life = life;
+    m_sequence = sequence;
+    if (!isNew)
+        return Report::Known;
+    m_incarnation = incarnationOf(backend, life);
+    if (m_leftWithoutLife == backend)
+        remember(m_incarnation);
+    m_leftWithoutLife.clear();
+    return Report::NewIncarnation;
+}
+
+void BackendLife::onLeave(const std::string &backend, std::uint64_t life)
+{
+    if (life != 0)
+        remember(incarnationOf(backend, life));
+    else if (backend == m_backend)
+        remember(m_incarnation);
+    else if (m_incarnation.empty())
+        m_leftWithoutLife = backend;
+}
+
+void BackendLife::onLeaveReported(const std::string &incarnation)
+{
+    remember(incarnation);
+}
+
+void BackendLife::remember(const std::string &incarnation)
+{
+    if (!incarnation.empty() && m_left.size() < MaxRemembered)
+        m_left.insert(incarnation);
+}
+
+} // namespace Medlar::Relay
