Relay: Decide outside the daemon when a notice is sent at once

The decision whether peers learn a changed limit at once stood in SidecarDaemon, beside sockets, and had no test. It and the conversion of the limit are now functions of their own. The two log sinks of tests that keep lines are one. No behaviour changes.

--- a/src/libs/relay/backendnotices.h
+++ b/src/libs/relay/backendnotices.h
@@ -33,4 +33,13 @@
     std::optional<double> m_maxRequestsPerSecond;
 };
 
+/*! \a perSecond in the unit of Messages::NodeNotice; 0 if there is no limit, or one above what any
+   VM handles. A limit of 0 is one. */
+std::uint64_t toThousandths(std::optional<double> perSecond);
+
+/*! Whether other daemons must learn \a current at once after \a sent: the BackendServer leaves, or
+   its limit has appeared, ended or changed much. Every response may name another limit, so smaller
+    changes are sent together. */
+bool mustSendAtOnce(const Messages::NodeNotice &sent, const Messages::NodeNotice &current);
+
 } // namespace Medlar::Relay
--- a/tests/auto/peer/tst_peerlinks.cpp
+++ b/tests/auto/peer/tst_peerlinks.cpp
@@ -1,3 +1,4 @@
+#include "../logging/recordinglog.h"
 #include "peer/peerlinks.h"
 
 #include <boost/asio.hpp>
@@ -15,22 +16,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-class RecordingSink : public Base::LogSink
-{
-public:
-    void write(const Base::LogLine &line) override { lines.push_back(line.toString()); }
-
-    std::size_t count(const std::string &part) const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(lines.begin(), lines.end(), [&part](const std::string &line) {
-                return line.find(part) != std::string::npos;
-            }));
-    }
-
-    std::vector<std::string> lines;
-};
-
 struct Daemon
 {
     std::unique_ptr<PeerLinks> links;
@@ -111,7 +96,7 @@
     }
 
     asio::io_context context{1};
-    RecordingSink log;
+    Logging::RecordingLog log;
     std::map<InstanceId, std::uint16_t> ports;
     bool wantsCompression = false;
 };
--- a/tests/auto/platform/tst_backendnotices.cpp
+++ b/tests/auto/platform/tst_backendnotices.cpp
@@ -1,3 +1,4 @@
+#include "../logging/recordinglog.h"
 #include "http/httpserver.h"
 #include "platform/backendheaders.h"
 #include "relay/localbackend.h"
@@ -13,22 +14,6 @@
 using Messages::ForwardRequest;
 using Messages::ForwardResponse;
 
-class CollectingLog : public Base::LogSink
-{
-public:
-    void write(const Base::LogLine &line) override { lines.push_back(line.toString()); }
-
-    std::size_t count(const std::string &part) const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(lines.begin(), lines.end(), [&part](const std::string &line) {
-                return line.find(part) != std::string::npos;
-            }));
-    }
-
-    std::vector<std::string> lines;
-};
-
 /*! A BackendServer that answers at once, with headers that say something about itself. */
 class BackendNoticesTest : public ::testing::Test
 {
@@ -105,7 +90,7 @@
     }
 
     boost::asio::io_context m_context;
-    CollectingLog m_log;
+    Logging::RecordingLog m_log;
     Metrics::MetricRegistry m_metrics;
     BackendHeaders m_dialect;
     std::size_t m_received = 0;
