--- a/review/lib/deployment.h
+++ b/review/lib/deployment.h
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -168,6 +169,8 @@
         const std::string variable = "MEDLARSTACK_SETTINGS=" + machine.settingsFile;
         const pid_t pid = ::fork();
         if (pid == 0) {
+            // No daemon outlives the case, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log
                 = ::open(machine.logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
