Relay, Platform: Let heartbeats of other writers change nothing

Cause: a heartbeat took effect before it was decided whether it counts.

BackendLife now decides which heartbeats count, before anything else sees them. The present incarnation goes on to count when its service is removed from the configuration, since it may still work.

--- a/src/libs/relay/backendlife.cpp
+++ b/src/libs/relay/backendlife.cpp
@@ -15,20 +15,20 @@
     return backend + '/' + std::to_string(life);
 }
 
-BackendLife::Report BackendLife::onHeartbeat(const std::string &backend, std::uint64_t life,
-                                             std::uint64_t sequence)
+BackendLife::Report BackendLife::onHeartbeat(const BackendReport &report, bool isServiceConfigured)
 {
     const bool isKnown = !m_incarnation.empty();
-    const bool isNew = !isKnown || backend != m_backend || life != m_life;
-    if (isKnown && (isNew ? life < m_life : sequence < m_sequence))
+    const bool isNew = !isKnown || report.backend != m_last.backend || report.life != m_last.life;
+    // An incarnation never changes its service.
+    if (isNew ? !isServiceConfigured : report.service != m_last.service)
+        return Report::Foreign;
+    if (isKnown && (isNew ? report.life < m_last.life : report.sequence < m_last.sequence))
         return Report::Stale;
-    m_backend = backend;
-    m_life = life;
-    m_sequence = sequence;
+    m_last = report;
     if (!isNew)
         return Report::Known;
-    m_incarnation = incarnationOf(backend, life);
-    if (m_leftWithoutLife == backend)
+    m_incarnation = incarnationOf(report.backend, report.life);
+    if (m_leftWithoutLife == report.backend)
         remember(m_incarnation);
     m_leftWithoutLife.clear();
     return Report::NewIncarnation;
@@ -38,7 +38,7 @@
 {
     if (life != 0)
         remember(incarnationOf(backend, life));
-    else if (backend == m_backend)
+    else if (backend == m_last.backend)
         remember(m_incarnation);
     else if (m_incarnation.empty())
         m_leftWithoutLife = backend;
