--- /dev/null
+++ b/tests/auto/platform/tst_keyservice.cpp
@@ -0,0 +1,194 @@
+#include "../logging/recordinglog.h"
+#include "platform/clock.h"
+#include "platform/keyservice.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <thread>
+
+namespace Medlar::Platform {
+namespace {
+
+using KeyRange::RangeRow;
+using KeyRange::RangeTable;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds MaxHold{10000};
+constexpr std::chrono::milliseconds ShortHold{1500};
+// A new process assumes leases of ShortHold that a former one may have granted; they have run out
+// by then.
+constexpr std::chrono::milliseconds FormerLeaseTime{1900};
+constexpr char Self[] = "n-1/127.0.0.1";
+constexpr char Other[] = "n-2/127.0.0.2";
+
+/*! A store whose calls are answered by the test. */
+class ScriptedStore : public Store::ObjectStore
+{
+public:
+    struct Write
+    {
+        std::string key;
+        std::string value;
+        Store::Version expected = 0;
+        Store::Callback<Store::Version> callback;
+    };
+
+    void get(const std::string & /*key*/, Store::Callback<Store::StoredObject> callback) override
+    {
+        reads.push_back(std::move(callback));
+    }
+    void list(const std::string & /*prefix*/,
+              Store::Callback<std::vector<Store::StoredObject>> /*callback*/) override
+    {}
+    void put(const std::string &key, const std::string &value, Store::Version expected,
+             Store::Callback<Store::Version> callback) override
+    {
+        writes.push_back({key, value, expected, std::move(callback)});
+    }
+    void remove(const std::string & /*key*/, Store::Version /*expected*/,
+                Store::Callback<Store::Version> /*callback*/) override
+    {}
+    void watch(const std::string & /*prefix*/, Store::Version /*after*/,
+               std::chrono::milliseconds /*timeout*/,
+               Store::Callback<Store::WatchResult> /*callback*/) override
+    {}
+
+    std::deque<Store::Callback<Store::StoredObject>> reads;
+    std::deque<Write> writes;
+};
+
+std::string tableText(KeyRange::Epoch epoch, const std::string &owner,
+                      const std::string &successor = {})
+{
+    RangeRow row;
+    row.range = {0, KeyRange::LastKey};
+    row.owner = owner;
+    row.epoch = epoch;
+    row.successor = successor;
+    return RangeTable::create({row}, epoch)->toJson();
+}
+
+class KeyServiceTest : public ::testing::Test
+{
+protected:
+    KeyServiceTest() { restart(); }
+
+    /*! Starts a new process on the node; the store is empty. */
+    void restart(std::chrono::milliseconds maxHold = MaxHold)
+    {
+        m_keys.reset();
+        m_store.writes.clear();
+        m_store.reads.clear();
+        KeyServiceHooks hooks;
+        hooks.onKeysChanged = [] {};
+        hooks.send = [](const std::string &, const Messages::PeerMessage &) {};
+        hooks.broadcast
+            = [this](const Messages::PeerMessage &message) { m_broadcasts.push_back(message); };
+        hooks.sharedVersion = [](const std::string &, const std::string &,
+                                 const Store::Callback<Store::Version> &) {};
+        m_keys = std::make_unique<KeyService>(m_context, m_store, m_fleet, std::move(hooks), m_log,
+                                              maxHold);
+    }
+
+    void list(const std::string &service, Store::Version version, const std::string &table)
+    {
+        m_keys->onList(bootTime(), {{RangeKind + service, table, version, {}}});
+    }
+
+    /*! Sends a heartbeat of i-1 that holds all keys under \a token, none without it. */
+    std::string beat(std::optional<KeyRange::FencingToken> token = {}, bool isDraining = false)
+    {
+        Heartbeat heartbeat;
+        heartbeat.backend = "i-1";
+        heartbeat.life = 1000;
+        heartbeat.sequence = ++m_sequence;
+        heartbeat.isDraining = isDraining;
+        if (token)
+            heartbeat.held = {{{0, KeyRange::LastKey}, *token}};
+        std::string result;
+        m_keys->onHeartbeat(heartbeat, [&result](std::string body) { result = std::move(body); });
+        return result;
+    }
+
+    /*! Lets the BackendServer of "permits" be granted all keys under the table version 6. */
+    KeyRange::FencingToken grantAllKeys()
+    {
+        m_keys->setService("permits", true);
+        list("permits", 5, tableText(1, Self));
+        beat();
+        // The epoch is raised first, since a former process may have granted keys under it.
+        m_store.writes.front().callback(6);
+        m_store.writes.clear();
+        const std::string answer = beat();
+        EXPECT_TRUE(m_keys->keyState(1234) == Relay::KeyState::Held) << answer;
+        return json::parse(answer).at("holds").at(0).at(2).get<KeyRange::FencingToken>();
+    }
+
+    /*! The planner moves all keys to another node, and the BackendServer still works on some. */
+    KeyRange::FencingToken moveKeysInUse()
+    {
+        const KeyRange::FencingToken token = grantAllKeys();
+        m_keys->onTable(std::string(RangeKind) + "permits", tableText(2, Self, Other), 7);
+        beat(token, true);
+        EXPECT_TRUE(m_store.writes.empty());
+        return token;
+    }
+
+    boost::asio::io_context m_context;
+    Logging::RecordingLog m_log;
+    ScriptedStore m_store;
+    Relay::FleetView m_fleet{"n-1", {"127.0.0.1", 1, "north", "north-a"}};
+    std::vector<Messages::PeerMessage> m_broadcasts;
+    std::uint64_t m_sequence = 0;
+    std::unique_ptr<KeyService> m_keys;
+};
+
+} // namespace
+
+// Guards against keys that another BackendServer gets while the present one works on them: a change
+// of the service, or of whether it is keyed, made the daemon forget the leases that it had granted.
+TEST_F(KeyServiceTest, leasesCountWhenTheServiceChangesAndComesBack)
+{
+    const std::vector<std::pair<std::string, bool>> changes{
+        {"harbour", false}, {"harbour", true}, {"permits", false}};
+    for (const auto &[service, isKeyed] : changes) {
+        SCOPED_TRACE(service + (isKeyed ? ", keyed" : ""));
+        restart(ShortHold);
+        std::this_thread::sleep_for(FormerLeaseTime);
+        const KeyRange::FencingToken token = moveKeysInUse();
+        m_keys->setService(service, isKeyed);
+        m_keys->setService("permits", true);
+        EXPECT_TRUE(m_store.writes.empty()) << m_store.writes.front().value;
+        beat(token, true);
+        EXPECT_TRUE(m_store.writes.empty()) << m_store.writes.front().value;
+
+        SCOPED_TRACE("they move when the BackendServer has released them");
+        beat({}, true);
+        ASSERT_EQ(m_store.writes.size(), 1U);
+        EXPECT_EQ(RangeTable::parse(m_store.writes.front().value)->row(1234).owner, Other);
+    }
+}
+
+// Guards against a lease that is renewed for the BackendServer of a former service: its heartbeat
+// waited for ranges and was answered from the table of the present one.
+TEST_F(KeyServiceTest, aHeartbeatThatWaitsIsNotAnsweredFromTheTableOfAnotherService)
+{
+    const KeyRange::FencingToken token = grantAllKeys();
+    std::string answer;
+    Heartbeat heartbeat;
+    heartbeat.backend = "i-1";
+    heartbeat.life = 1000;
+    heartbeat.sequence = ++m_sequence;
+    heartbeat.held = {{{0, KeyRange::LastKey}, token}};
+    m_keys->onHeartbeat(heartbeat, [&answer](std::string body) { answer = std::move(body); });
+    ASSERT_EQ(answer, "") << "it waits for changes";
+    list("harbour", 9, tableText(3, Self));
+    m_keys->setService("harbour", true);
+    EXPECT_EQ(answer, "{}");
+}
+
+} // namespace Medlar::Platform
