--- a/tests/auto/platform/tst_keyservice.cpp
+++ b/tests/auto/platform/tst_keyservice.cpp
@@ -173,6 +173,43 @@
     }
 }
 
+// Guards against a table that is overwritten with that of another service: the result of a write
+// arrived after the service had changed and was sent to the peers under the new name.
+TEST_F(KeyServiceTest, theResultOfAWriteCountsForTheServiceThatItWasMadeFor)
+{
+    m_keys->setService("permits", true);
+    list("permits", 5, tableText(1, Self));
+    beat();
+    ASSERT_EQ(m_store.writes.size(), 1U);
+    m_keys->onTable(std::string(RangeKind) + "harbour", tableText(3, Other), 4);
+    m_keys->setService("harbour", true);
+    m_store.writes.front().callback(6);
+    ASSERT_EQ(m_broadcasts.size(), 1U);
+    EXPECT_EQ(std::get<Messages::ObjectDelta>(m_broadcasts.front()).key,
+              std::string(RangeKind) + "permits");
+    EXPECT_EQ(m_keys->version("permits"), 6U);
+    EXPECT_EQ(m_keys->version("harbour"), 4U);
+}
+
+// Guards against leases without a proof of ownership: a read of the table of the former service was
+// taken for one of the table of the present service.
+TEST_F(KeyServiceTest, aReadOfTheFormerServiceProvesNothingForThePresentOne)
+{
+    m_keys->setService("permits", true);
+    list("permits", 5, tableText(1, Self));
+    m_keys->onTable(std::string(RangeKind) + "harbour", tableText(3, Self), 7);
+    m_keys->setService("harbour", true);
+    ASSERT_EQ(m_store.reads.size(), 2U);
+    m_store.reads.front()(
+        Store::StoredObject{std::string(RangeKind) + "permits", tableText(1, Self), 5, {}});
+    EXPECT_EQ(beat(), "{}");
+
+    SCOPED_TRACE("the table of the present service is known, and its own read proves it");
+    m_store.reads.back()(
+        Store::StoredObject{std::string(RangeKind) + "harbour", tableText(3, Self), 7, {}});
+    EXPECT_TRUE(json::parse(beat()).contains("holds"));
+}
+
 // Guards against a lease that is renewed for the BackendServer of a former service: its heartbeat
 // waited for ranges and was answered from the table of the present one.
 TEST_F(KeyServiceTest, aHeartbeatThatWaitsIsNotAnsweredFromTheTableOfAnotherService)
