Http: Send a request at most once on each connection

Cause: a response was attributed by the id of its request. A request of a keyed service that its backend server declined is offered to the same one again, and the pool gave it the connection used last, which is the one on which it was declined. From then on two responses with the same id could come on that connection. A late second copy of the refusal was taken for the response to the later send; the request was answered 503 while it ran, or sent once more.

Ruled out: a retry after an unclear answer (RequestRelay::onAnswer() never retries these; the reason in the log is backend-declined); a copy that reaches another request (its id differs, and it is dropped).

Each connection now remembers the ids (as hashes) of the requests that it has sent until they are not sent again: their deadline, and 5 s for differences in transit when another daemon sends the request once more. The pool takes another connection for the next send. The rule does not depend on the reason for the next send, so it covers a second try after a 5xx and a request that comes again from another daemon, and medlard, which uses the same pool.

--- a/src/libs/http/backendclient.cpp
+++ b/src/libs/http/backendclient.cpp
@@ -57,7 +57,7 @@
     const BackendCounters &counters() const { return m_counters; }
 
 private:
-    ConnectionPtr takeIdle(std::chrono::milliseconds maxIdle);
+    ConnectionPtr takeIdle(const BackendRequest &request);
     ConnectionPtr open();
     void onDone(const ConnectionPtr &connection, const BackendRequest &request,
                 BackendResult result, bool isReusable);
@@ -72,14 +72,14 @@
     BackendRequestId m_lastId = 0;
 };
 
-// The last one was used last, so all others are idle for longer.
-ConnectionPtr Pool::takeIdle(std::chrono::milliseconds maxIdle)
+// The last one was used last, so all before one that was idle for too long are so as well.
+ConnectionPtr Pool::takeIdle(const BackendRequest &request)
 {
-    while (!m_idle.empty()) {
-        if (m_idle.back()->idleTime() > maxIdle)
-            return nullptr;
-        ConnectionPtr connection = std::move(m_idle.back());
-        m_idle.pop_back();
+    for (std::size_t i = m_idle.size(); i-- > 0 && m_idle[i]->idleTime() <= request.maxIdle;) {
+        if (m_idle[i]->hasSent(request.requestId))
+            continue;
+        const ConnectionPtr connection = std::move(m_idle[i]);
+        m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (connection->isUsable())
             return connection;
         connection->abandon();
@@ -101,7 +101,7 @@
 BackendRequestId Pool::send(BackendRequest request)
 {
     const BackendRequestId id = ++m_lastId;
-    ConnectionPtr connection = takeIdle(request.maxIdle);
+    ConnectionPtr connection = takeIdle(request);
     if (!connection && m_busy.size() < m_settings.maxConnections)
         connection = open();
     if (!connection) {
--- a/src/libs/http/backendclient.h
+++ b/src/libs/http/backendclient.h
@@ -87,7 +87,9 @@
 /*!
     Bounded keep-alive connections to one BackendServer, one request at a time on each. A connection
    whose response was late, cut off or not understood is closed and never used again, so a response
-   cannot reach another request. Use it on the thread of the io_context only.
+   cannot reach another request. A request that is sent once more takes another connection, so a
+   second copy of a response cannot be taken for the response to the later send. Use it on the
+   thread of the io_context only.
 */
 class BackendClient
 {
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -20,6 +20,9 @@
 // A connection is given up this long before the server closes it, so that no request crosses the
 // close.
 constexpr std::chrono::milliseconds IdleMargin{500};
+// A request that comes once more from another daemon has the same deadline, less its time in
+// transit, which may differ by this much.
+constexpr std::chrono::milliseconds MaxTransitDifference{5000};
 // Higher values of a Keep-Alive header are ignored.
 constexpr std::uint64_t MaxKeepAliveSeconds = 3600;
 
@@ -108,6 +111,8 @@
         return;
     }
     m_isSent = true;
+    m_sentRequests.add(std::chrono::steady_clock::now(), m_request->requestId,
+                       m_request->deadline + MaxTransitDifference);
     m_message = std::make_shared<BeastRequest>(toBeast(m_request->request, m_settings.address));
     waitUntil(m_request->deadline, BackendErrorCode::TimedOut);
     http::async_write(m_socket, *m_message,
@@ -169,7 +174,7 @@
     if (m_buffer.size() != 0)
         ++m_counters.unexpectedBytes;
     const bool isReusable = message.keep_alive() && m_buffer.size() == 0 && !m_sawOtherResponse
-                            && !message.need_eof();
+                            && !message.need_eof() && !m_sentRequests.isFull();
     finish(toHttpResponse(m_parser->release()), isReusable);
 }
 
--- a/src/libs/http/backendconnection.h
+++ b/src/libs/http/backendconnection.h
@@ -3,6 +3,7 @@
 #include "backendclient.h"
 #include "beastconversion.h"
 #include "deadlinequeue.h"
+#include "sentrequests.h"
 
 #include <memory>
 #include <optional>
@@ -28,6 +29,8 @@
     void abandon();
     /*! Whether an idle connection can take a request: still open, and without unread bytes. */
     bool isUsable();
+    /*! Whether the request was sent on this connection before; it needs another one then. */
+    bool hasSent(const std::string &requestId) const { return m_sentRequests.contains(requestId); }
     std::chrono::milliseconds idleTime() const;
 
 private:
@@ -58,6 +61,7 @@
     std::uint64_t m_turn = 0; //!< counts requests; handlers of earlier ones do nothing
     Base::TimePoint m_idleSince;
     std::chrono::milliseconds m_maxIdle;
+    SentRequests m_sentRequests;
     bool m_isConnected = false;
     bool m_sawOtherResponse = false; //!< its bytes may not have been the last
     bool m_isSent = false;
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -196,6 +196,36 @@
     EXPECT_EQ(client->counters().unexpectedBytes, 2U);
 }
 
+// Guards against a request that runs twice, or that is answered as not run and runs: a late second
+// copy of the refusal was taken for the response to the next send of the same request, which went
+// out on the same connection.
+TEST_F(BackendClientTest, theSecondCopyOfARefusalIsNotTakenForTheResponseToTheNextSend)
+{
+    settings.waitsBehindOtherResponse = true;
+    settings.maxConnections = 3;
+    client = BackendClient::create(context, settings);
+    send("a");
+    ASSERT_TRUE(arrives(0, "a"));
+    backend.connections[0]->write(response("a", "refused"));
+    ASSERT_TRUE(ends(0));
+
+    SCOPED_TRACE("the request is sent once more, and the copy arrives before the response");
+    send("a");
+    ASSERT_TRUE(arrives(1, "a"));
+    backend.connections[0]->write(response("a", "refused"));
+    backend.connections[1]->write(response("a", "served"));
+    ASSERT_TRUE(ends(1));
+    ASSERT_TRUE(*results[1]);
+    EXPECT_EQ((*results[1])->body, "served");
+
+    SCOPED_TRACE("a third send uses neither connection, a send of another request one of them");
+    send("a");
+    ASSERT_TRUE(arrives(2, "a"));
+    send("b");
+    ASSERT_TRUE(arrives(1, "b"));
+    EXPECT_EQ(client->counters().connectionsOpened, 3U);
+}
+
 TEST_F(BackendClientTest, cutOffResponseIsAnError)
 {
     const std::string whole = response("a", "0123456789");
