Http: Count idle connections when a request needs another one

A request that may not use the idle connections opened a new one even if busy and idle connections together had reached the limit, so the backend server could reset connections beyond it.

The connection that was idle for longest is now closed for it.

Failed before: BackendClientTest.idleConnectionsCountWhenARequestNeedsAnotherOne (the first connection stays open).

--- a/src/libs/http/backendclient.cpp
+++ b/src/libs/http/backendclient.cpp
@@ -58,6 +58,7 @@
 
 private:
     ConnectionPtr takeIdle(const BackendRequest &request);
+    bool makeRoom();
     ConnectionPtr open();
     void onDone(const ConnectionPtr &connection, const BackendRequest &request,
                 BackendResult result, bool isReusable);
@@ -87,6 +88,19 @@
     return nullptr;
 }
 
+/*! Returns whether another connection may be opened. Idle ones count as well, and the one that was
+    idle for longest is closed for it. */
+bool Pool::makeRoom()
+{
+    if (m_busy.size() >= m_settings.maxConnections)
+        return false;
+    if (m_busy.size() + m_idle.size() >= m_settings.maxConnections) {
+        m_idle.front()->abandon();
+        m_idle.erase(m_idle.begin());
+    }
+    return true;
+}
+
 ConnectionPtr Pool::open()
 {
     return std::make_shared<BackendConnection>(
@@ -102,7 +116,7 @@
 {
     const BackendRequestId id = ++m_lastId;
     ConnectionPtr connection = takeIdle(request);
-    if (!connection && m_busy.size() < m_settings.maxConnections)
+    if (!connection && makeRoom())
         connection = open();
     if (!connection) {
         asio::post(m_context, [done = std::move(request.done)] {
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -226,6 +226,24 @@
     EXPECT_EQ(client->counters().connectionsOpened, 3U);
 }
 
+// Guards against connections beyond the limit of the BackendServer, which resets them: a request
+// that needs another connection found all others idle.
+TEST_F(BackendClientTest, idleConnectionsCountWhenARequestNeedsAnotherOne)
+{
+    settings.maxConnections = 1;
+    client = BackendClient::create(context, settings);
+    send("a");
+    ASSERT_TRUE(arrives(0, "a"));
+    backend.connections[0]->write(response("a", "refused"));
+    ASSERT_TRUE(ends(0));
+    send("a");
+    ASSERT_TRUE(arrives(1, "a"));
+    EXPECT_TRUE(until([&] {
+        backend.connections[0]->poll();
+        return backend.connections[0]->isClosed;
+    }));
+}
+
 TEST_F(BackendClientTest, cutOffResponseIsAnError)
 {
     const std::string whole = response("a", "0123456789");
