Http, Platform: Take no response that does not name its request

A response without a request id was taken for the response to whatever request was in progress. On the platform all backend servers repeat the id, so such a response is not theirs, or its request is not known: a refusal would let a request that runs be sent once more.

Failed before: BackendClientTest.aResponseThatNamesNoRequestIsNotTakenWhereAllNameOne.

--- a/src/libs/http/backendclient.h
+++ b/src/libs/http/backendclient.h
@@ -24,6 +24,9 @@
     std::uint64_t maxBodyBytes
         = std::uint64_t(2) * 1024 * 1024;              //!< has to fit into a frame between daemons
     std::string requestIdHeader = "Medlar-Request-Id"; //!< in which responses repeat the id
+    /*! Takes no response without requestIdHeader. Set where all responses of the BackendServer
+     * carry it, since a response without it may belong to any request. */
+    bool requiresRequestId = false;
     /*! Takes a response without a length that ends with an orderly close of its connection. */
     bool acceptsBodyUntilClose = false;
     /*! After a response to another request, wait for the own one instead of giving up. */
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -154,8 +154,10 @@
 void BackendConnection::onResponse()
 {
     const auto &message = m_parser->get();
+    const bool isAttributable = !m_settings.requiresRequestId
+                                || message.find(m_settings.requestIdHeader) != message.end();
     // A body that ends with the connection cannot be told from one that was cut off.
-    if (message.result_int() < LowestFinalStatus
+    if (message.result_int() < LowestFinalStatus || !isAttributable
         || (message.need_eof() && m_request->request.method != "HEAD"
             && !m_settings.acceptsBodyUntilClose)) {
         fail(BackendErrorCode::Malformed);
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -244,6 +244,22 @@
     }));
 }
 
+// Guards against a refusal that is taken for the response to a request that runs: it names no
+// request, and may be a late copy of an earlier one.
+TEST_F(BackendClientTest, aResponseThatNamesNoRequestIsNotTakenWhereAllNameOne)
+{
+    settings.requiresRequestId = true;
+    settings.waitsBehindOtherResponse = true;
+    client = BackendClient::create(context, settings);
+    send("a");
+    ASSERT_TRUE(arrives(0, "a"));
+    backend.connections[0]->write("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    const BackendError error = errorOf(0);
+    EXPECT_EQ(error.code, BackendErrorCode::Malformed);
+    EXPECT_TRUE(error.sent) << "it may have run";
+    EXPECT_EQ(client->idleConnections(), 0U);
+}
+
 TEST_F(BackendClientTest, cutOffResponseIsAnError)
 {
     const std::string whole = response("a", "0123456789");
