Http: Read nothing behind the response to another request where a HEAD response is expected

The response to a HEAD request is read without a body. If the late copy of a response to another request comes in its place, its body is left in the buffer and was read as the next response.

The attempt now ends as mismatched, since the end of the copy is not known.

Failed before: BackendClientTest.nothingIsReadBehindTheResponseToAnotherRequestWhereAHeadIsExpected (the request was answered with bytes of the body of the other one).

--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -166,7 +166,9 @@
     if (!isForRequest()) {
         ++m_counters.mismatchedResponses;
         m_sawOtherResponse = true;
-        if (m_settings.waitsBehindOtherResponse && message.keep_alive())
+        // The response to a HEAD request is read without a body, which this one may have.
+        const bool isEndKnown = message.keep_alive() && m_request->request.method != "HEAD";
+        if (m_settings.waitsBehindOtherResponse && isEndKnown)
             read(); // the response to this request may follow
         else
             fail(BackendErrorCode::Mismatched);
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -260,6 +260,26 @@
     EXPECT_EQ(client->idleConnections(), 0U);
 }
 
+// Guards against bytes of a body that are read as a response: the second copy of a response to
+// another request has a body, and a response to a HEAD request is read without one.
+TEST_F(BackendClientTest, nothingIsReadBehindTheResponseToAnotherRequestWhereAHeadIsExpected)
+{
+    settings.waitsBehindOtherResponse = true;
+    client = BackendClient::create(context, settings);
+    results.emplace_back();
+    client->send(
+        {{"HEAD", "/a", {}, {}}, "a", Clock::now() + 1h, nullptr, [this](BackendResult result) {
+             results[0] = std::move(result);
+         }});
+    ASSERT_TRUE(until([&] {
+        return !backend.connections.empty()
+               && backend.connections[0]->poll().find("HEAD /a ") != std::string::npos;
+    }));
+    backend.connections[0]->write(response("z", response("a", "part of the body of z")));
+    EXPECT_EQ(errorOf(0).code, BackendErrorCode::Mismatched);
+    EXPECT_EQ(client->idleConnections(), 0U);
+}
+
 TEST_F(BackendClientTest, cutOffResponseIsAnError)
 {
     const std::string whole = response("a", "0123456789");
