--- a/tests/auto/platform/tst_platformcodecs.cpp
+++ b/tests/auto/platform/tst_platformcodecs.cpp
@@ -147,6 +147,34 @@
     EXPECT_EQ(heartbeatAnswer(std::nullopt), "{}") << "no lease is renewed without a grant";
 }
 
+// Guards against heartbeats of other writers that are taken for those of the BackendServer: one
+// without 'born' ended the incarnation, and a large cold time overflowed.
+TEST(Heartbeats, rejectsHeartbeatsOfOtherWriters)
+{
+    for (const char *field : {"service", "address", "zone", "version", "slots", "state",
+                              "cold-left-s", "seq-num", "born"}) {
+        SCOPED_TRACE(field);
+        auto foreign = nlohmann::json::parse(HeartbeatBody);
+        foreign[field] = nlohmann::json::array();
+        EXPECT_FALSE(readHeartbeat("i-1", foreign.dump())) << "another type";
+        foreign.erase(field);
+        EXPECT_FALSE(readHeartbeat("i-1", foreign.dump())) << "missing";
+    }
+    for (const auto &[field, value] :
+         std::vector<std::pair<std::string, nlohmann::json>>{{"cold-left-s", 1e300},
+                                                             {"cold-left-s", -1e300},
+                                                             {"cold-left-s", -0.5},
+                                                             {"slots", 1ULL << 40U},
+                                                             {"slots", -1},
+                                                             {"born", 1.5},
+                                                             {"seq-num", -4}}) {
+        SCOPED_TRACE(field + ' ' + value.dump());
+        auto foreign = nlohmann::json::parse(HeartbeatBody);
+        foreign[field] = value;
+        EXPECT_FALSE(readHeartbeat("i-1", foreign.dump()));
+    }
+}
+
 TEST(Heartbeats, rejectsMalformedHeartbeats)
 {
     for (const auto &[field, value] :
