Soak: Second copies of answers, refusals and heartbeats of other writers

Backend servers now decline one request in twelve, the proxy before them sends part of their bytes a second time 12 ms later, and heartbeats come with fields that are missing, of another type, or name a service that does not exist.

--- a/tests/auto/platform/soak/faultproxy.cpp
+++ b/tests/auto/platform/soak/faultproxy.cpp
@@ -7,12 +7,20 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 
 namespace Medlar::Platform::Soak {
 
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+namespace {
+
+constexpr std::chrono::milliseconds RepeatDelay{12};
+constexpr unsigned DataPerRepeat = 3;
+
+} // namespace
+
 struct FaultProxy::State
 {
     ProxyMode mode = ProxyMode::Pass;
@@ -90,15 +98,32 @@
                std::size_t size)
     {
         boost::asio::async_write(to, boost::asio::buffer(buffer.data(), size),
-                                 [this, self = shared_from_this(), &from, &to, &buffer,
-                                  isToServer](const ErrorCode &error, std::size_t) {
-                                     if (error)
+                                 [this, self = shared_from_this(), &from, &to, &buffer, isToServer,
+                                  size](const ErrorCode &error, std::size_t) {
+                                     if (error) {
                                          close();
-                                     else
-                                         forward(from, to, buffer, isToServer);
+                                         return;
+                                     }
+                                     const bool isRepeated = !isToServer
+                                                             && m_state->mode == ProxyMode::Repeat
+                                                             && ++m_dataCount % DataPerRepeat == 0;
+                                     if (isRepeated)
+                                         repeat(std::string(buffer.data(), size));
+                                     forward(from, to, buffer, isToServer);
                                  });
     }
 
+    void repeat(std::string data)
+    {
+        auto timer
+            = std::make_shared<boost::asio::steady_timer>(m_client.get_executor(), RepeatDelay);
+        timer->async_wait(
+            [self = shared_from_this(), timer, data = std::move(data)](const ErrorCode &) {
+                ErrorCode ignored;
+                boost::asio::write(self->m_client, boost::asio::buffer(data), ignored);
+            });
+    }
+
     void close()
     {
         ErrorCode ignored;
@@ -112,6 +137,7 @@
     std::shared_ptr<State> m_state;
     Buffer m_toServer{};
     Buffer m_toClient{};
+    unsigned m_dataCount = 0;
     bool m_hasLostBytes = false;
 };
 
--- a/tests/auto/platform/soak/faultproxy.h
+++ b/tests/auto/platform/soak/faultproxy.h
@@ -14,7 +14,8 @@
     Pass,
     Delay,  //!< data to the server is delayed
     Silent, //!< connections stay open, all data is discarded
-    OneWay  //!< data to the server is forwarded, data to the client is discarded
+    OneWay, //!< data to the server is forwarded, data to the client is discarded
+    Repeat  //!< a part of the data to the client is sent a second time, late
 };
 
 /*! TCP proxy that injects connection faults. Use it only on the thread of the io_context. */
--- a/tests/auto/platform/soak/soakbackend.cpp
+++ b/tests/auto/platform/soak/soakbackend.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds ListenRetryDelay{100};
 constexpr milliseconds MaxWorkTime{80};
 constexpr std::uint16_t Misdirected = 421;
+constexpr std::uint16_t Unavailable = 503;
+constexpr unsigned RequestsPerRefusal = 12;
 
 // Increases with every start, so that heartbeats and grants from before a restart are
 // distinguishable.
@@ -110,6 +112,10 @@
                {}});
         return;
     }
+    if (m_random() % RequestsPerRefusal == 0) {
+        reply({Unavailable, {{"Not-Executed", "1"}, {"Attempt-Id", *requestId}}, {}});
+        return;
+    }
     if (m_settings.isKeyed && onKeyedRun)
         onKeyedRun(*this, key);
     m_audit.onRun(*requestId, m_id);
@@ -193,6 +199,42 @@
     m_daemon->send(std::move(call));
 }
 
+void SoakBackend::sendForeignHeartbeat()
+{
+    if (!isUp())
+        return;
+    json body = json::parse(heartbeatBody());
+    --m_sequence;
+    body["seq-num"] = m_sequence + m_random() % 1000;
+    body["born"] = m_incarnation + m_random() % 2 * 1000;
+    body["slots"] = 1000;
+    body["holds"] = json::array();
+    switch (m_random() % 5) {
+    case 0:
+        body["state"] = "asleep";
+        break;
+    case 1:
+        body.erase("born");
+        break;
+    case 2:
+        body["cold-left-s"] = "long";
+        break;
+    case 3:
+        body["slots"] = nullptr;
+        break;
+    default:
+        body["service"] = "no-such-service";
+    }
+    Http::BackendRequest call;
+    call.request.method = "POST";
+    call.request.target = "/api/Instances.Heartbeat/" + m_id;
+    call.request.body = body.dump();
+    call.request.headers = {{"Content-Type", "application/json"}};
+    call.deadline = steadyNow() + HeartbeatTimeout;
+    call.done = [](const Http::BackendResult &) {};
+    m_daemon->send(std::move(call));
+}
+
 void SoakBackend::onHeartbeatResponse(Base::TimePoint sentAt, const std::string &body)
 {
     const json answer = json::parse(body, nullptr, false);
--- a/tests/auto/platform/soak/soakbackend.h
+++ b/tests/auto/platform/soak/soakbackend.h
@@ -38,6 +38,9 @@
     void start();
     /*! Resets all connections and discards the held key ranges. */
     void crash();
+    /*! Sends the daemon a heartbeat as another writer could: a field is missing, of another type,
+     * or names what does not exist, and the others differ from those of this backend server. */
+    void sendForeignHeartbeat();
     bool isUp() const { return m_server != nullptr; }
     /*! Whether a request for \a key would be executed now. */
     bool holds(KeyRange::Key key) const;
--- a/tests/auto/platform/soak/soakcluster.cpp
+++ b/tests/auto/platform/soak/soakcluster.cpp
@@ -256,13 +256,16 @@
     if (!m_isInjectingFaults)
         return;
     Node &node = *m_nodes[m_random() % m_nodes.size()];
-    switch (m_random() % 4) {
+    switch (m_random() % 5) {
     case 0:
         injectStoreFault();
         break;
     case 1:
         injectConnectionFault(node);
         break;
+    case 2:
+        injectBackendFault(node);
+        break;
     default:
         injectProcessFault(node);
     }
@@ -309,6 +312,18 @@
     runAfter(length, [&proxy] { proxy.setMode(ProxyMode::Pass); });
 }
 
+void SoakCluster::injectBackendFault(Node &node)
+{
+    const bool repeats = m_random() % 2 == 0;
+    log("fault=backend node=" + node.name + " repeats=" + std::to_string(repeats));
+    if (!repeats) {
+        node.backend->sendForeignHeartbeat();
+        return;
+    }
+    node.backendProxy->setMode(ProxyMode::Repeat);
+    runAfter(randomDuration(300, 4000), [&node] { node.backendProxy->setMode(ProxyMode::Pass); });
+}
+
 void SoakCluster::injectProcessFault(Node &node)
 {
     const auto kind = m_random() % 5;
--- a/tests/auto/platform/soak/soakcluster.h
+++ b/tests/auto/platform/soak/soakcluster.h
@@ -50,6 +50,7 @@
     void injectStoreFault();
     void injectProcessFault(Node &node);
     void injectConnectionFault(Node &node);
+    void injectBackendFault(Node &node);
     void runAfter(std::chrono::milliseconds delay, std::function<void()> action);
     std::chrono::milliseconds randomDuration(int minMs, int maxMs);
     void log(const std::string &text) const;
