--- a/src/libs/http/backendclient.cpp
+++ b/src/libs/http/backendclient.cpp
@@ -79,7 +79,7 @@
     for (std::size_t i = m_idle.size(); i-- > 0 && m_idle[i]->idleTime() <= request.maxIdle;) {
         if (m_idle[i]->hasSent(request.requestId))
             continue;
-        const ConnectionPtr connection = std::move(m_idle[i]);
+        ConnectionPtr connection = std::move(m_idle[i]);
         m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (connection->isUsable())
             return connection;
