--- a/tests/auto/platform/tst_keyservice.cpp
+++ b/tests/auto/platform/tst_keyservice.cpp
@@ -210,6 +210,19 @@
     EXPECT_TRUE(json::parse(beat()).contains("holds"));
 }
 
+// Guards against fencing tokens that a former process of the node has issued: the table that was
+// known before the service was keyed here may be older than that process.
+TEST_F(KeyServiceTest, epochsOfAFormerProcessAreNotUsedAgain)
+{
+    m_keys->setService("permits", false);
+    m_keys->onTable(std::string(RangeKind) + "permits", tableText(1, Self), 5);
+    m_keys->onTable(std::string(RangeKind) + "permits", tableText(4, Self), 6);
+    m_keys->setService("permits", true);
+    beat();
+    ASSERT_EQ(m_store.writes.size(), 1U) << "the epoch is raised before keys are granted";
+    EXPECT_EQ(RangeTable::parse(m_store.writes.front().value)->row(1234).epoch, 5U);
+}
+
 // Guards against a lease that is renewed for the BackendServer of a former service: its heartbeat
 // waited for ranges and was answered from the table of the present one.
 TEST_F(KeyServiceTest, aHeartbeatThatWaitsIsNotAnsweredFromTheTableOfAnotherService)
