--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -612,11 +612,12 @@
     const InstanceSettings &settings() const { return m_settings; }
     bool isUp() const { return m_isUp; }
 
-    bool start()
+    /*! \a clockOffset: how far the time of day of its machine is ahead, in milliseconds. */
+    bool start(int clockOffset = 0)
     {
-        m_born = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                std::chrono::system_clock::now().time_since_epoch())
-                                                .count());
+        const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        m_born = static_cast<std::uint64_t>(time.count() + clockOffset);
         m_isUp = true;
         if (!m_server.start(m_settings.ip, m_settings.port,
                             [this](const Message &request, int fd) { return run(request, fd); }))
@@ -646,6 +647,19 @@
         return status && status->status / 100 == 2;
     }
 
+    /*! Reports that it is draining, in its heartbeats and in all its answers. Returns whether that was
+        acknowledged within \a timeout. */
+    bool drain(double timeout)
+    {
+        m_isLeaving = true;
+        m_isDraining = true;
+        const double end = seconds() + timeout;
+        while (!m_isDrainAcknowledged && seconds() < end)
+            sleepFor(0.005);
+        return m_isDrainAcknowledged;
+    }
+    std::uint64_t born() const { return m_born; }
+
     // For keyed instances
 
     std::vector<KeyRow> rows()
@@ -799,7 +813,7 @@
                      {"zone", m_settings.zone},
                      {"version", "v1"},
                      {"slots", m_settings.slots},
-                     {"state", "ready"},
+                     {"state", m_isDraining ? "draining" : "ready"},
                      {"cold-left-s", 0},
                      {"seq-num", ++m_sequence},
                      {"born", m_born}};
@@ -814,6 +828,7 @@
     {
         while (m_isUp) {
             const double sentAt = seconds();
+            const bool isDraining = m_isDraining;
             const std::string body = beatBody();
             if (m_holdsFirstBeat && m_sequence == 1) {
                 {
@@ -836,8 +851,14 @@
             }
             const auto answer = post("/api/Instances.Heartbeat/" + m_settings.id, body, 1.0);
             bool isReleasing = false;
-            if (answer && answer->status / 100 == 2 && seconds() - sentAt <= 1.0)
+            if (answer && answer->status / 100 == 2 && seconds() - sentAt <= 1.0) {
                 isReleasing = onAnswer(sentAt, answer->body);
+                if (isDraining && !m_isDrainAcknowledged) {
+                    RECORD("%s: heartbeat %s is answered %d %s", m_settings.id.c_str(),
+                           body.c_str(), answer->status, answer->body.c_str());
+                    m_isDrainAcknowledged = true;
+                }
+            }
             const double next = sentAt + (isReleasing ? 0.09 : m_settings.beatInterval);
             while (m_isUp && seconds() < next)
                 sleepFor(std::min(0.01, next - seconds()));
@@ -900,6 +921,8 @@
     InstanceSettings m_settings;
     std::atomic<bool> m_isUp{false};
     std::atomic<bool> m_isLeaving{false};
+    std::atomic<bool> m_isDraining{false};
+    std::atomic<bool> m_isDrainAcknowledged{false};
     Server m_server;
     std::thread m_beats;
     std::mutex m_mutex;
