--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -1005,6 +1005,14 @@
         writeSettings(m_machines.back());
         return m_machines.size() - 1;
     }
+    /*! Rewrites the settings file of a machine; its process gets no signal. */
+    void setService(std::size_t index, const std::string &service)
+    {
+        m_machines[index].settings.service = service;
+        writeSettings(m_machines[index]);
+        RECORD("machine %s: the settings file now names service %s",
+               m_machines[index].settings.name.c_str(), service.c_str());
+    }
     const MachineSettings &machine(std::size_t index) const { return m_machines[index].settings; }
     std::size_t size() const { return m_machines.size(); }
 
