Tie review case 6 to what the new process has read

The old heartbeat is delivered once the new process has listed its configuration and its table, not after a fixed time.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -8,7 +8,7 @@
 
 constexpr double MaxOverlap = 0.5;
 constexpr double RestartDelay = 0.3;
-constexpr double StartTime = 0.2; // until the new process has read its configuration and its table
+constexpr double StartTime = 0.05; // once the new process has listed its configuration and its table
 constexpr double BeatDelay = 1.6; // of the heartbeats after the restart
 constexpr int Machines = 3;
 
@@ -155,7 +155,14 @@
     store.put("evacuations", zones[lateMachine], json::object());
     if (arguments.hasTrouble) {
         sleepFor(RestartDelay);
+        const int tables = store.listCount("medlar-ranges");
+        const int configurations = store.listCount("config");
         deployment.start(lateMachine);
+        const double end = seconds() + 1.2;
+        while (seconds() < end
+               && (store.listCount("medlar-ranges") == tables
+                   || store.listCount("config") == configurations))
+            sleepFor(0.002);
     } else {
         sleepFor(RestartDelay);
     }
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -387,6 +387,12 @@
         const auto found = m_objects[kind].find(name);
         return found == m_objects[kind].end() ? json() : found->second["spec"];
     }
+    /*! How often the objects of a kind were listed. */
+    int listCount(const std::string &kind)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_lists[kind];
+    }
     /*! Called with kind, name and object after each change by a daemon. */
     std::function<void(const std::string &, const std::string &, const json &)> onChange;
 
@@ -492,6 +498,7 @@
             }
             return {};
         }
+        ++m_lists[kind];
         json items = json::array();
         bool hasMore = false;
         const std::string after = query.count("after") != 0 ? query["after"] : std::string();
@@ -512,6 +519,7 @@
     std::condition_variable m_changed;
     std::atomic<bool> m_isStopping{false};
     std::uint64_t m_revision = 1;
+    std::map<std::string, int> m_lists;
     std::map<std::string, std::map<std::string, json>> m_objects;
     std::vector<Event> m_events;
 };
