KeyRange: Let no heartbeat end the wait for leases of a former process

Cause: a process that starts waits for the leases that its predecessor may have granted, and its first report ended that wait. A heartbeat states what was held when it was sent, and nothing in it says when that was. The mirror image: a late report of a held range counted as a lease of full length from its arrival.

Ruled out: that the heartbeat could be recognized as old (a new process knows no earlier sequence), and that the raised epoch moves the keys (the range stays on its VM).

Ranges that stay on their VM are granted as before.

--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -9,8 +9,6 @@
 // No heartbeat has a higher sequence: the release of ranges that were granted to another
 // BackendServer cannot be concluded from the reports of the current one.
 constexpr std::uint64_t MaxSequence = UINT64_MAX;
-// Incarnations of a BackendServer that one daemon process can distinguish within an epoch.
-constexpr FencingToken IncarnationsPerEpoch = 1024;
 
 Base::Duration scaled(Base::Duration duration, double factor)
 {
@@ -18,11 +16,20 @@
         std::chrono::duration<double, Base::Duration::period>(duration) * factor);
 }
 
+// The latest time at which a lease ends that was granted at \a grantedAt or before.
+Base::TimePoint longestLeaseEnd(Base::TimePoint grantedAt, const KeeperTiming &timing)
+{
+    return grantedAt + scaled(timing.maxLease, 1.0 + timing.drift) + timing.margin;
+}
+
 } // namespace
 
 RangeKeeper::RangeKeeper(std::string self, Base::TimePoint startedAt, const KeeperTiming &timing,
                          const KeeperRules &rules)
-    : m_self(std::move(self)), m_startedAt(startedAt), m_timing(timing), m_rules(rules)
+    : m_self(std::move(self))
+    , m_timing(timing)
+    , m_rules(rules)
+    , m_formerLeases(longestLeaseEnd(startedAt, timing))
 {}
 
 void RangeKeeper::onTable(Base::TimePoint now, TableVersion version, const RangeTable &table)
@@ -33,6 +40,7 @@
         m_inheritedEpoch = table.lastEpoch();
     m_version = version;
     m_table = table;
+    m_released.onTable(table);
     std::map<std::pair<Key, Epoch>, Base::TimePoint> successions;
     for (const RangeRow &row : m_table->rows()) {
         if (row.successor != m_self || row.owner == m_self)
@@ -78,18 +86,18 @@
 }
 
 // A former process of this node may have issued tokens of the epoch to another incarnation. A range
-// that the BackendServer still holds under the epoch proves that its incarnation is the same.
+// that the BackendServer still holds under the epoch proves that its incarnation is the same. The
+// latest report has to state this: a grant of the present process may have been the answer to an
+// old heartbeat, which nobody received.
 bool RangeKeeper::needsNewEpoch(const RangeRow &row) const
 {
-    const bool isHeldUnderEpoch = std::any_of(
-        m_held.begin(), m_held.end(), [&row](const HeldRange &held) {
-            return held.range.contains(row.range) && held.token / IncarnationsPerEpoch == row.epoch;
-        });
-    return m_rules.raisesEpochAfterRestart && m_inheritedEpoch && row.epoch <= *m_inheritedEpoch
-           && !isHeldUnderEpoch
-           && std::none_of(m_grants.begin(), m_grants.end(), [&row](const Grant &grant) {
-                  return grant.isCurrent && grant.range.contains(row.range);
-              });
+    const bool isHeldUnderEpoch
+        = std::any_of(m_held.begin(), m_held.end(), [&row](const HeldRange &held) {
+              return held.range.contains(row.range) && epochOf(held.token) == row.epoch;
+          });
+    const bool isInherited = m_inheritedEpoch && row.epoch <= *m_inheritedEpoch;
+    return (m_rules.raisesEpochAfterRestart && isInherited && !isHeldUnderEpoch)
+           || (m_rules.raisesEpochAfterRelease && m_released.overlap(row));
 }
 
 void RangeKeeper::applyReport(const HeldReport &report)
@@ -115,13 +123,50 @@
     m_freed.insert(m_freed.end(), report.freed.begin(), report.freed.end());
     if (!m_table)
         return;
+    addReleases(report);
     for (const HeldRange &held : m_held) {
         const RangeRow &row = m_table->row(held.range.first);
-        if (row.owner == m_self && held.token / IncarnationsPerEpoch == row.epoch)
+        if (row.owner == m_self && epochOf(held.token) == row.epoch)
             m_incarnationNumber = std::max(m_incarnationNumber, held.token % IncarnationsPerEpoch);
     }
 }
 
+void RangeKeeper::addReleases(const HeldReport &report)
+{
+    for (const FreedRange &freed : report.freed) {
+        for (const Range &part : notHeld(freed.range, report)) {
+            // A release is reported until a heartbeat is acknowledged. One of a range that is not
+            // granted was handled before.
+            const bool wasGranted
+                = std::any_of(m_grants.begin(), m_grants.end(),
+                              [&part](const Grant &grant) { return grant.range.overlaps(part); });
+            if (!wasGranted)
+                continue;
+            for (const RangeRow &row : m_table->rows()) {
+                if (row.owner == m_self && row.range.overlaps(part))
+                    m_released.add(intersection(row.range, part), row.epoch);
+            }
+        }
+    }
+}
+
+// The BackendServer may hold ranges that were granted by a former process of this daemon. Later, a
+// range that is not known as granted is only reported because requests outlast an expired lease, or
+// because the heartbeat is old.
+void RangeKeeper::addReportedLeases(Base::TimePoint now, const HeldReport &report)
+{
+    if (now >= m_formerLeases.end())
+        return;
+    std::vector<Range> known;
+    known.reserve(m_grants.size());
+    for (const Grant &grant : m_grants)
+        known.push_back(grant.range);
+    for (const HeldRange &held : m_held) {
+        for (const Range &part : subtracted(held.range, known))
+            m_grants.push_back({part, m_formerLeases.end(), false, report.sequence});
+    }
+}
+
 void RangeKeeper::dropReleased(const HeldReport &report)
 {
     const auto isReleased = [&report](const Grant &grant) {
@@ -135,23 +180,13 @@
 
 std::optional<LeaseGrant> RangeKeeper::onHeartbeat(Base::TimePoint now, const HeldReport &report)
 {
+    m_formerLeases.onReport(now, report);
     applyReport(report);
     dropReleased(report);
     m_grants.erase(std::remove_if(m_grants.begin(), m_grants.end(),
                                   [now](const Grant &grant) { return grant.expiresAt <= now; }),
                    m_grants.end());
-    // A former process of this daemon may have granted these leases at full length just before it
-    // ended.
-    std::vector<Range> known;
-    known.reserve(m_grants.size());
-    for (const Grant &grant : m_grants)
-        known.push_back(grant.range);
-    for (const HeldRange &held : m_held) {
-        for (const Range &part : subtracted(held.range, known))
-            m_grants.push_back(
-                {part, now + scaled(m_timing.maxLease, 1.0 + m_timing.drift) + m_timing.margin,
-                 false, report.sequence});
-    }
+    addReportedLeases(now, report);
     const Base::Duration remaining
         = scaled(authorityEnd() == Base::TimePoint::min() ? Base::Duration::zero()
                                                           : authorityEnd() - now - m_timing.margin,
@@ -256,21 +291,21 @@
     return pieces;
 }
 
-// After a start, the held ranges are unknown until the first report of the BackendServer, so leases
-// granted by the former process have to be assumed until they have expired.
-bool RangeKeeper::mayBeHeld(Base::TimePoint now, const Range &range) const
+// Whether a lease that was granted by this process, or that was reported to it, is still running.
+bool RangeKeeper::isGranted(Base::TimePoint now, const Range &range) const
 {
-    const Base::TimePoint formerLeasesEnd
-        = m_startedAt + scaled(m_timing.maxLease, 1.0 + m_timing.drift) + m_timing.margin;
-    if (!m_rules.waitsForRelease)
-        return false;
-    if (m_rules.waitsForFormerLeases && !m_hasBackend && now < formerLeasesEnd)
-        return true;
     return std::any_of(m_grants.begin(), m_grants.end(), [&](const Grant &grant) {
         return grant.range.overlaps(range) && grant.expiresAt > now;
     });
 }
 
+bool RangeKeeper::mayBeHeld(Base::TimePoint now, const RangeRow &row) const
+{
+    return m_rules.waitsForRelease
+           && (isGranted(now, row.range)
+               || (m_rules.waitsForFormerLeases && m_formerLeases.mayCover(now, row)));
+}
+
 std::optional<RangeTable> RangeKeeper::wantedTable(Base::TimePoint now) const
 {
     if (!m_table)
@@ -282,13 +317,16 @@
     std::vector<RangeRow> rows;
     for (const RangeRow &row : m_table->rows()) {
         const bool isOwn = row.owner == m_self;
-        const bool mayHandOver = isOwn && !row.successor.empty() && !mayBeHeld(now, row.range);
+        const bool mayHandOver = isOwn && !row.successor.empty() && !mayBeHeld(now, row);
         const auto succession = m_successions.find({row.range.first, row.epoch});
         const bool mayTakeOver
             = succession != m_successions.end()
               && (now >= succession->second + takeoverDelay || !m_rules.waitsBeforeTakeover);
+        // The range stays on this VM, which hosts one BackendServer, so leases of a former process
+        // need not expire first.
         const bool mustRaiseEpoch = isOwn && row.successor.empty() && m_hasBackend
-                                    && needsNewEpoch(row) && !mayBeHeld(now, row.range);
+                                    && needsNewEpoch(row)
+                                    && !(m_rules.waitsForRelease && isGranted(now, row.range));
         if (mayHandOver) {
             for (RangeRow &piece : rowsAfterHandover(row)) {
                 piece.epoch = nextEpoch;
--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "base/time.h"
+#include "formerleases.h"
+#include "heldreport.h"
 #include "rangetable.h"
+#include "releasedranges.h"
 
 #include <map>
 #include <optional>
@@ -11,9 +14,6 @@
 
 namespace Medlar::KeyRange {
 
-/*! Issued to the BackendServer with each granted range; it rejects ranges with lower tokens. */
-using FencingToken = std::uint64_t;
-
 /*! Version of the range table in the store. */
 using TableVersion = std::uint64_t;
 
@@ -45,34 +45,12 @@
     bool waitsForRelease = true;           //!< a range moves only after its holder released it
     bool raisesEpochAfterRestart = true;   //!< incarnations never share tokens
     bool waitsForFormerLeases = true;      //!< after a restart, leases of the former process count
+    bool raisesEpochAfterRelease = true;   //!< no epoch is granted again after a release under it
     bool confirmsKnownVersionsOnly = true; //!< reads prove ownership of known rows only
     /*! For RangeChanges: a change is dropped if its rows have changed since it was decided. */
     bool checksRowsOfChanges = true;
 };
 
-/*! A range that the BackendServer reports as held. */
-struct HeldRange
-{
-    Range range;
-    FencingToken token = 0;
-};
-
-struct FreedRange
-{
-    Range range;
-    HandoverToken handover;
-};
-
-/*! Identity and key ranges of a BackendServer, as reported in a heartbeat. */
-struct HeldReport
-{
-    std::string backend;           //!< id of the BackendServer
-    std::uint64_t incarnation = 0; //!< differs after each start of the BackendServer
-    std::uint64_t sequence = 0;
-    std::vector<HeldRange> held;
-    std::vector<FreedRange> freed; //!< since the last acknowledged heartbeat
-};
-
 struct GrantedRange
 {
     Range range;
@@ -140,16 +118,20 @@
     FencingToken tokenOf(const RangeRow &row) const;
     bool isFree(Base::TimePoint now, const Range &range) const;
     bool isReported(const Range &range) const;
-    bool mayBeHeld(Base::TimePoint now, const Range &range) const;
+    bool isGranted(Base::TimePoint now, const Range &range) const;
+    bool mayBeHeld(Base::TimePoint now, const RangeRow &row) const;
     bool needsNewEpoch(const RangeRow &row) const;
     void applyReport(const HeldReport &report);
+    void addReleases(const HeldReport &report);
+    void addReportedLeases(Base::TimePoint now, const HeldReport &report);
     void dropReleased(const HeldReport &report);
     std::vector<RangeRow> rowsAfterHandover(const RangeRow &row) const;
 
     std::string m_self;
-    Base::TimePoint m_startedAt;
     KeeperTiming m_timing;
     KeeperRules m_rules;
+    FormerLeases m_formerLeases;
+    ReleasedRanges m_released;
     std::optional<RangeTable> m_table;
     TableVersion m_version = 0;
     std::optional<Base::TimePoint> m_confirmedAt;
--- a/src/libs/keyrange/rangetable.cpp
+++ b/src/libs/keyrange/rangetable.cpp
@@ -186,6 +186,11 @@
     return *rowOf(m_rows, key);
 }
 
+Range intersection(const Range &a, const Range &b)
+{
+    return {std::max(a.first, b.first), std::min(a.last, b.last)};
+}
+
 std::vector<Range> subtracted(const Range &range, const std::vector<Range> &others)
 {
     std::vector<Range> remaining{range};
--- a/src/libs/keyrange/rangetable.h
+++ b/src/libs/keyrange/rangetable.h
@@ -31,6 +31,9 @@
     std::uint32_t size() const { return last - first + 1; }
 };
 
+/*! Returns the keys that are in both ranges, which must overlap. */
+Range intersection(const Range &a, const Range &b);
+
 /*! Returns the parts of \a range that are not covered by any of \a others. */
 std::vector<Range> subtracted(const Range &range, const std::vector<Range> &others);
 
--- a/tests/auto/keyrange/rangecluster.cpp
+++ b/tests/auto/keyrange/rangecluster.cpp
@@ -12,6 +12,9 @@
 // Distance of the keys that are checked; ranges start and end at multiples of 1024.
 constexpr Key SampleInterval = 1024;
 
+// Of each BackendServer, for copies that arrive late.
+constexpr std::size_t MaxRecentReports = 8;
+
 RangeTable initialTable(std::size_t nodes)
 {
     std::vector<RangeRow> rows;
@@ -47,10 +50,19 @@
                      lateWrites.end());
 }
 
+void FakeBackendServer::restart()
+{
+    leases.clear();
+    freed.clear();
+    reportedFreed = 0;
+    sequence = 0;
+    ++incarnation;
+}
+
 void FakeBackendServer::expire(Base::TimePoint now)
 {
-    for (Lease &lease : leases) {
-        if (lease.isWithdrawn && now >= lease.busyUntil)
+    for (const Lease &lease : leases) {
+        if (lease.isWithdrawn && now >= lease.busyUntil && now < lease.expiresAt)
             freed.push_back({lease.range, "handover"});
     }
     leases.erase(std::remove_if(leases.begin(), leases.end(),
@@ -63,13 +75,19 @@
 
 HeldReport FakeBackendServer::report()
 {
-    HeldReport result{"backend", incarnation, ++sequence, {}, std::move(freed)};
-    freed.clear();
+    HeldReport result{"backend", incarnation, ++sequence, {}, freed};
+    reportedFreed = freed.size();
     for (const Lease &lease : leases)
         result.held.push_back({lease.range, lease.token});
     return result;
 }
 
+void FakeBackendServer::onAcknowledged()
+{
+    freed.erase(freed.begin(), freed.begin() + static_cast<std::ptrdiff_t>(reportedFreed));
+    reportedFreed = 0;
+}
+
 void FakeBackendServer::applyGrant(Base::TimePoint sentAt, Base::TimePoint now,
                                    const LeaseGrant &grant, std::mt19937_64 &random)
 {
@@ -81,17 +99,19 @@
         if (expiresAt > now)
             next.push_back({range.range, range.token, expiresAt, {}, false});
     }
-    for (Lease &lease : leases) {
-        const bool isKept = std::any_of(next.begin(), next.end(), [&lease](const Lease &kept) {
-            return kept.range.overlaps(lease.range);
-        });
-        if (isKept)
-            continue;
-        if (!lease.isWithdrawn) {
-            lease.isWithdrawn = true;
-            lease.busyUntil = now + std::chrono::milliseconds(random() % 300);
+    std::vector<Range> granted;
+    for (const Lease &lease : next)
+        granted.push_back(lease.range);
+    for (const Lease &lease : leases) {
+        for (const Range &part : subtracted(lease.range, granted)) {
+            Lease withdrawn = lease;
+            withdrawn.range = part;
+            if (!lease.isWithdrawn) {
+                withdrawn.isWithdrawn = true;
+                withdrawn.busyUntil = now + std::chrono::milliseconds(random() % 300);
+            }
+            next.push_back(withdrawn);
         }
-        next.push_back(lease);
     }
     leases = std::move(next);
 }
@@ -106,7 +126,7 @@
     for (std::size_t i = 0; i < nodes; ++i) {
         FakeRangeNode node;
         node.name = "n" + std::to_string(i);
-        node.keeper = makeKeeper(node.name);
+        startKeeper(node);
         node.backendServer.incarnation = 1000 * (i + 1);
         node.backendServer.clockRate = chance(0.5) ? 1.02 : 1.0;
         node.backendServer.nextHeartbeat = m_now + randomDuration(0ms, 1s);
@@ -114,9 +134,23 @@
     }
 }
 
-std::unique_ptr<RangeKeeper> RangeCluster::makeKeeper(const std::string &name) const
+// A copy of a heartbeat that the ended process has answered may be the first one that the next
+// process receives.
+void RangeCluster::endKeeper(FakeRangeNode &node, Base::Duration downTime)
+{
+    node.keeper.reset();
+    node.downUntil = m_now + downTime;
+    if (!node.recentReports.empty() && chance(0.3))
+        node.lateHeartbeats.push_back(
+            {node.downUntil, node.recentReports[m_random() % node.recentReports.size()]});
+}
+
+void RangeCluster::startKeeper(FakeRangeNode &node)
 {
-    return std::make_unique<RangeKeeper>(name, m_now, KeeperTiming{}, m_rules);
+    node.keeper = std::make_unique<RangeKeeper>(node.name, m_now, KeeperTiming{}, m_rules);
+    node.backendLife = Relay::BackendLife();
+    node.read.reset();
+    node.nextConfirm = m_now;
 }
 
 bool RangeCluster::chance(double probability)
@@ -138,14 +172,10 @@
         node.watchStalledUntil = m_now + randomDuration(1s, 30s);
         break;
     case 0: // the daemon restarts while its BackendServer keeps running
-        node.keeper.reset();
-        node.downUntil = m_now + randomDuration(100ms, 6s);
+        endKeeper(node, randomDuration(100ms, 6s));
         break;
     case 1: // the BackendServer restarts under the same id
-        node.backendServer.leases.clear();
-        node.backendServer.freed.clear();
-        node.backendServer.sequence = 0;
-        ++node.backendServer.incarnation;
+        node.backendServer.restart();
         node.backendServer.nextHeartbeat = m_now + randomDuration(0ms, 3s);
         break;
     case 2:
@@ -161,20 +191,14 @@
         node.backendServer.nextHeartbeat = m_now + randomDuration(1s, 10s);
         break;
     case 6: // power loss of the VM
-        node.keeper.reset();
-        node.downUntil = m_now + randomDuration(500ms, 15s);
-        node.backendServer.leases.clear();
-        node.backendServer.freed.clear();
-        node.backendServer.sequence = 0;
-        ++node.backendServer.incarnation;
+        endKeeper(node, randomDuration(500ms, 15s));
+        node.backendServer.restart();
         node.backendServer.nextHeartbeat = node.downUntil;
         break;
     default: // several daemons restart at the same time
         for (FakeRangeNode &each : m_nodes) {
-            if (!chance(0.3))
-                continue;
-            each.keeper.reset();
-            each.downUntil = m_now + randomDuration(500ms, 2s);
+            if (chance(0.3))
+                endKeeper(each, randomDuration(500ms, 2s));
         }
     }
 }
@@ -259,20 +283,51 @@
     if (isReleasing)
         node.backendServer.nextHeartbeat = m_now + 100ms;
     const HeldReport report = node.backendServer.report();
-    const auto grant = node.keeper->onHeartbeat(m_now, report);
-    const bool isLost = m_injectsFaults && chance(0.1);
-    if (grant && !isLost)
+    node.recentReports.push_back(report);
+    if (node.recentReports.size() > MaxRecentReports)
+        node.recentReports.pop_front();
+    if (m_injectsFaults && chance(0.1))
+        node.lateHeartbeats.push_back({m_now + randomDuration(20ms, 8s), report});
+    if (m_injectsFaults && chance(0.1)) {
+        node.lateHeartbeats.push_back({m_now + randomDuration(1s, 8s), report});
+        node.backendServer.nextHeartbeat = m_now + 1s;
+        return;
+    }
+    const auto grant = deliver(node, report);
+    if (m_injectsFaults && chance(0.1))
+        return;
+    node.backendServer.onAcknowledged();
+    if (grant)
         node.backendServer.applyGrant(m_now, m_now, *grant, m_random);
 }
 
+void RangeCluster::deliverLateHeartbeats(FakeRangeNode &node)
+{
+    std::vector<FakeRangeNode::LateHeartbeat> waiting;
+    for (const FakeRangeNode::LateHeartbeat &late : node.lateHeartbeats) {
+        if (late.at <= m_now)
+            deliver(node, late.report);
+        else
+            waiting.push_back(late);
+    }
+    node.lateHeartbeats = std::move(waiting);
+}
+
+std::optional<LeaseGrant> RangeCluster::deliver(FakeRangeNode &node, const HeldReport &report)
+{
+    using Relay::BackendLife;
+    const auto kind = node.backendLife.onHeartbeat(
+        {report.backend, "service", report.incarnation, report.sequence}, true);
+    const bool isCurrent
+        = kind == BackendLife::Report::Known || kind == BackendLife::Report::NewIncarnation;
+    return isCurrent ? node.keeper->onHeartbeat(m_now, report) : std::nullopt;
+}
+
 void RangeCluster::runNode(FakeRangeNode &node)
 {
     node.backendServer.expire(m_now);
-    if (!node.keeper && m_now >= node.downUntil) {
-        node.keeper = makeKeeper(node.name);
-        node.read.reset();
-        node.nextConfirm = m_now;
-    }
+    if (!node.keeper && m_now >= node.downUntil)
+        startKeeper(node);
     if (!node.keeper || m_now < node.suspendedUntil)
         return;
     const bool reachesStore = m_now >= node.disconnectedUntil && m_now >= m_storeDownUntil;
@@ -297,6 +352,7 @@
         node.keeper->onConfirmed(node.read->sentAt, node.read->version);
         node.read.reset();
     }
+    deliverLateHeartbeats(node);
     sendHeartbeat(node);
     if (reachesStore)
         writeProposedTable(node);
--- a/tests/auto/keyrange/rangecluster.h
+++ b/tests/auto/keyrange/rangecluster.h
@@ -2,6 +2,7 @@
 
 #include "keyrange/rangechanges.h"
 #include "keyrange/rangekeeper.h"
+#include "relay/backendlife.h"
 
 #include <deque>
 #include <map>
@@ -49,11 +50,14 @@
     std::uint64_t sequence = 0;
     double clockRate = 1.0; //!< true seconds per second of its own clock
     std::vector<Lease> leases;
-    std::vector<FreedRange> freed;
+    std::vector<FreedRange> freed; //!< since the last acknowledged heartbeat
+    std::size_t reportedFreed = 0; //!< of these, in the last heartbeat
     Base::TimePoint nextHeartbeat;
 
+    void restart();
     void expire(Base::TimePoint now);
     HeldReport report();
+    void onAcknowledged();
     void applyGrant(Base::TimePoint sentAt, Base::TimePoint now, const LeaseGrant &grant,
                     std::mt19937_64 &random);
 };
@@ -62,6 +66,15 @@
 {
     std::string name;
     std::unique_ptr<RangeKeeper> keeper; //!< null while the daemon is down
+    Relay::BackendLife backendLife;      //!< of the present process
+    /*! A heartbeat that was delayed, or a second copy of one. Its answer is ignored. */
+    struct LateHeartbeat
+    {
+        Base::TimePoint at;
+        HeldReport report;
+    };
+    std::vector<LateHeartbeat> lateHeartbeats;
+    std::deque<HeldReport> recentReports; //!< the last ones that were sent
     FakeBackendServer backendServer;
     Base::TimePoint downUntil;
     Base::TimePoint suspendedUntil;    //!< the daemon is paused, its clock keeps running
@@ -82,8 +95,9 @@
 
 /*!
     Simulates daemons, their BackendServers and one store under random faults: restarts of daemons
-   and BackendServers, suspended VMs, network partitions, store outages, lost and late writes, slow
-   clocks. Checks after each step that no key is held twice and that fencing tokens increase.
+   and BackendServers, suspended VMs, network partitions, store outages, lost and late writes, late
+   and doubled heartbeats, slow clocks. Checks after each step that no key is held twice and that
+   fencing tokens increase.
 */
 class RangeCluster
 {
@@ -100,13 +114,16 @@
     void injectFault();
     void planMove();
     void runNode(FakeRangeNode &node);
+    void endKeeper(FakeRangeNode &node, Base::Duration downTime);
+    void startKeeper(FakeRangeNode &node);
     void sendHeartbeat(FakeRangeNode &node);
+    void deliverLateHeartbeats(FakeRangeNode &node);
+    std::optional<LeaseGrant> deliver(FakeRangeNode &node, const HeldReport &report);
     void writeProposedTable(FakeRangeNode &node);
     void runWriter();
     std::optional<std::string> findViolation();
     bool chance(double probability);
     Base::Duration randomDuration(Base::Duration least, Base::Duration most);
-    std::unique_ptr<RangeKeeper> makeKeeper(const std::string &name) const;
 
     std::mt19937_64 m_random;
     KeeperRules m_rules;
--- a/tests/auto/keyrange/tst_rangeownership.cpp
+++ b/tests/auto/keyrange/tst_rangeownership.cpp
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t Nodes = 4;
-constexpr std::uint64_t Seeds = 40;
+constexpr std::uint64_t Seeds = 60;
 constexpr Base::Duration RunLength = 3min;
 // Suspensions and outages last up to 20 s, followed by a take-over and one lease.
 constexpr Base::Duration SettleTime = 60s;
--- a/tests/auto/platform/tst_keyservice.cpp
+++ b/tests/auto/platform/tst_keyservice.cpp
@@ -223,6 +223,29 @@
     EXPECT_EQ(RangeTable::parse(m_store.writes.front().value)->row(1234).epoch, 5U);
 }
 
+// Guards against keys that two BackendServers hold after a restart: an old heartbeat, which the
+// restarted daemon received first, ended the wait for the leases of its former process.
+TEST_F(KeyServiceTest, anOldFirstHeartbeatDoesNotEndTheLeasesOfTheFormerProcess)
+{
+    for (const bool isTableLate : {false, true}) {
+        SCOPED_TRACE(isTableLate ? "the table is known after the heartbeat" : "and before it");
+        restart(ShortHold);
+        m_keys->setService("permits", true);
+        if (isTableLate)
+            beat();
+        list("permits", 5, tableText(1, Self, Other));
+        beat();
+        beat();
+        EXPECT_TRUE(m_store.writes.empty()) << m_store.writes.front().value;
+
+        SCOPED_TRACE("the keys move when these leases have run out, without another heartbeat");
+        m_context.restart();
+        m_context.run_for(FormerLeaseTime);
+        ASSERT_EQ(m_store.writes.size(), 1U);
+        EXPECT_EQ(RangeTable::parse(m_store.writes.front().value)->row(1234).owner, Other);
+    }
+}
+
 // Guards against a lease that is renewed for the BackendServer of a former service: its heartbeat
 // waited for ranges and was answered from the table of the present one.
 TEST_F(KeyServiceTest, aHeartbeatThatWaitsIsNotAnsweredFromTheTableOfAnotherService)
