KeyRange: Take the epochs of a former process from a recent table

Cause: a process that starts raises the epochs under which its predecessor may have granted ranges. It took them from the first table that it knew. A peer can send one from before the last change of the predecessor, and then a restarted backend server gets a token that its former incarnation has had.

Change: the epochs are taken from the table that is known at the first proof of ownership, whose read began after the start. The fixture of RangeKeeperTest confirms its first table now, since it stands for a keeper that has been running since before the second one; its checks are the same.

Evidence: epochsThatAreNewerThanTheFirstKnownTableAreNotGrantedAgain fails without the change. A rule in tst_rangerules shows that the model notices its absence.

--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -65,7 +65,13 @@
     // A known version that is later than the one read was written after the read began, so the read
     // proves ownership for it as well. Rows of an unknown version may have successors.
     const bool isKnown = version <= m_version || !m_rules.confirmsKnownVersionsOnly;
-    if (isKnown && (!m_confirmedAt || *m_confirmedAt < sentAt))
+    if (!isKnown)
+        return;
+    // The first known table may be older than this process if a peer sent it. The read began after
+    // the start, so all epochs that a former process has granted under are in the known table.
+    if (!m_confirmedAt && m_table && m_rules.inheritsConfirmedEpochs)
+        m_inheritedEpoch = m_table->lastEpoch();
+    if (!m_confirmedAt || *m_confirmedAt < sentAt)
         m_confirmedAt = sentAt;
 }
 
--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -45,6 +45,7 @@
     bool waitsForRelease = true;           //!< a range moves only after its holder released it
     bool raisesEpochAfterRestart = true;   //!< incarnations never share tokens
     bool waitsForFormerLeases = true;      //!< after a restart, leases of the former process count
+    bool inheritsConfirmedEpochs = true;   //!< also those that are not in the first known table
     bool raisesEpochAfterRelease = true;   //!< no epoch is granted again after a release under it
     bool confirmsKnownVersionsOnly = true; //!< reads prove ownership of known rows only
     /*! For RangeChanges: a change is dropped if its rows have changed since it was decided. */
@@ -135,8 +136,9 @@
     std::optional<RangeTable> m_table;
     TableVersion m_version = 0;
     std::optional<Base::TimePoint> m_confirmedAt;
-    /*! Highest epoch at the start of this process. A former process of this node may have granted
-     * ranges under this epoch to an earlier incarnation of the BackendServer. */
+    /*! Highest epoch in the table at the first proof of ownership of this process. A former process
+     * of this node may have granted ranges under this epoch to an earlier incarnation of the
+     * BackendServer. */
     std::optional<Epoch> m_inheritedEpoch;
     std::string m_backend;
     std::uint64_t m_incarnation = 0;
--- a/tests/auto/keyrange/rangecluster.cpp
+++ b/tests/auto/keyrange/rangecluster.cpp
@@ -12,6 +12,8 @@
 // Distance of the keys that are checked; ranges start and end at multiples of 1024.
 constexpr Key SampleInterval = 1024;
 
+// Peers may know an older table than the store has.
+constexpr std::size_t MaxFormerTables = 20;
 // Of each BackendServer, for copies that arrive late.
 constexpr std::size_t MaxRecentReports = 8;
 
@@ -34,6 +36,9 @@
 {
     if (expected != version)
         return false;
+    formerTables.push_back(table);
+    if (formerTables.size() > MaxFormerTables)
+        formerTables.pop_front();
     table = next;
     ++version;
     return true;
@@ -120,7 +125,7 @@
     : m_random(seed)
     , m_rules(rules)
     , m_now(Base::TimePoint{} + 1h)
-    , m_store{initialTable(nodes), 1, {}, false}
+    , m_store{initialTable(nodes), 1, {}, {}, false}
     , m_changes(rules.checksRowsOfChanges)
 {
     for (std::size_t i = 0; i < nodes; ++i) {
@@ -151,6 +156,11 @@
     node.backendLife = Relay::BackendLife();
     node.read.reset();
     node.nextConfirm = m_now;
+    if (m_store.formerTables.empty() || !chance(0.5))
+        return;
+    const std::size_t age = 1 + m_random() % m_store.formerTables.size();
+    node.keeper->onTable(m_now, m_store.version - age,
+                         m_store.formerTables[m_store.formerTables.size() - age]);
 }
 
 bool RangeCluster::chance(double probability)
--- a/tests/auto/keyrange/rangecluster.h
+++ b/tests/auto/keyrange/rangecluster.h
@@ -27,6 +27,7 @@
 
     RangeTable table;
     TableVersion version = 1;
+    std::deque<RangeTable> formerTables; //!< the last ones, the newest at the end
     std::vector<LateWrite> lateWrites;
     bool isDown = false;
 
--- a/tests/auto/keyrange/tst_rangekeeper.cpp
+++ b/tests/auto/keyrange/tst_rangekeeper.cpp
@@ -35,8 +35,10 @@
 protected:
     RangeKeeperTest() : m_keeper("a", Start)
     {
-        // Epochs of the first known table count as inherited and are never granted again.
+        // Epochs that are known at the first proof of ownership count as inherited and are never
+        // granted again.
         m_keeper.onTable(Start, 1, table({{{0, LastKey}, "b", 1, {}, {}}}, 1));
+        m_keeper.onConfirmed(Start, 1);
         m_keeper.onTable(Start, 2, ownedTable());
         m_keeper.onConfirmed(Start, 2);
     }
@@ -192,6 +194,31 @@
     }
 }
 
+// Guards against fencing tokens that a former process has issued: a peer sent a restarted daemon a
+// table from before the last change of its former process, and only the epochs in that table
+// counted as used.
+TEST(RangeKeeper, epochsThatAreNewerThanTheFirstKnownTableAreNotGrantedAgain)
+{
+    RangeKeeper keeper("a", Start);
+    keeper.onTable(Start, 5, halves());
+    keeper.onHeartbeat(Start + 100ms, report(1));
+    const RangeTable current
+        = table({{{0, 32767}, "a", 2, {}, {}}, {{32768, LastKey}, "b", 1, {}, {}}}, 2);
+    keeper.onTable(Start + 200ms, 6, current);
+    keeper.onConfirmed(Start + 200ms, 6);
+    const auto grant = keeper.onHeartbeat(Start + 300ms, report(2));
+    ASSERT_TRUE(grant);
+    EXPECT_TRUE(grant->ranges.empty());
+    const auto wanted = keeper.wantedTable(Start + 300ms);
+    ASSERT_TRUE(wanted);
+    EXPECT_EQ(wanted->row(0).epoch, 3U);
+
+    SCOPED_TRACE("the epoch of its own change is granted, although a later read shows it");
+    keeper.onTable(Start + 400ms, 7, *wanted);
+    keeper.onConfirmed(Start + 400ms, 7);
+    EXPECT_EQ(keeper.onHeartbeat(Start + 500ms, report(3))->ranges.size(), 1U);
+}
+
 TEST(RangeKeeper, aSuccessorTakesOverOnlyAfterTheOwnershipHasExpired)
 {
     RangeKeeper successor("b", Start - 1min);
--- a/tests/auto/keyrange/tst_rangerules.cpp
+++ b/tests/auto/keyrange/tst_rangerules.cpp
@@ -63,6 +63,12 @@
         rules.raisesEpochAfterRestart = false;
         EXPECT_TRUE(firstViolation(rules));
     }
+    {
+        SCOPED_TRACE("epochs that are newer than the first known table, which may be old");
+        KeeperRules rules;
+        rules.inheritsConfirmedEpochs = false;
+        EXPECT_TRUE(firstViolation(rules));
+    }
     {
         SCOPED_TRACE("a restarted daemon that ignores the leases of its former process");
         KeeperRules rules;
