Http, Relay, Daemon: Pass on no answer whose status callers cannot use

What callers would see: an answer with status 000.

Cause: a daemon checked the status of its own backend server against a lower bound of 200, so 000 was refused there, but 600 to 999 were passed on. What another daemon passed on was not checked at all: the status of a ForwardResponse is 0 unless it is set, and a daemon of another build may send any number.

Change: Http::isFinalStatus() (200 to 599, RFC 9110) is asked at the connection to the backend server and for each answer of another daemon, in RequestRelay (medlard-sidecar) and Forwarder (medlard). Another status is no answer: the request may have run, so only an idempotent one is sent again.

Evidence: aResponseWithAMalformedStatusLineIsNoAnswer fails without the change for two of its 16 status lines (600 and 999), aStatusThatCallersCannotUseIsNotPassedOn and aStatusThatCallersCannotUseIsNoAnswer fail for all statuses. responseOfAnotherPeerOrRequestIsNotAccepted sent an answer without a status and expected it to be passed on, which is this fault; it names 200 now, and its checks are the same.

--- a/src/libs/daemon/errorcodes.h
+++ b/src/libs/daemon/errorcodes.h
@@ -33,6 +33,7 @@
 constexpr char GivenUp[] = "given-up";
 constexpr char Cancelled[] = "cancelled";
 constexpr char LostHedge[] = "lost-hedge";
+constexpr char PeerAnswerUnusable[] = "peer-answer-unusable";
 constexpr char BackendNotRun[] = "backend-not-run";
 constexpr char BackendRefused[] = "backend-refused"; // as Http::toString() has them
 constexpr char BackendCutOff[] = "backend-cut-off";
--- a/src/libs/daemon/forwarder.cpp
+++ b/src/libs/daemon/forwarder.cpp
@@ -21,6 +21,7 @@
     , m_sent(metrics.counter("medlar_forwarded_total", "Requests sent to other daemons."))
     , m_unknownStreams(metrics.counter(DroppedName, DroppedHelp, {{"reason", "late"}}))
     , m_mismatched(metrics.counter(DroppedName, DroppedHelp, {{"reason", "mismatched"}}))
+    , m_unusable(metrics.counter(DroppedName, DroppedHelp, {{"reason", "unusable"}}))
 {}
 
 Forwarder::StreamId Forwarder::send(const InstanceId &to, Messages::ForwardRequest request,
@@ -87,6 +88,13 @@
         m_mismatched.add();
         return;
     }
+    // A daemon of another version may pass on a status that callers cannot use.
+    const bool isAnswered = response.outcome == Messages::Outcome::Answered;
+    if (isAnswered && !Http::isFinalStatus(response.status)) {
+        m_unusable.add();
+        finish(response.streamId, AttemptResult::unknown(ErrorCode::PeerAnswerUnusable));
+        return;
+    }
     AttemptResult result;
     result.outcome = response.outcome;
     result.error = std::move(response.error);
--- a/src/libs/daemon/forwarder.h
+++ b/src/libs/daemon/forwarder.h
@@ -62,6 +62,7 @@
     Metrics::Counter &m_sent;
     Metrics::Counter &m_unknownStreams;
     Metrics::Counter &m_mismatched;
+    Metrics::Counter &m_unusable;
 };
 
 } // namespace Medlar::Daemon
--- a/src/libs/http/backendconnection.cpp
+++ b/src/libs/http/backendconnection.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr std::uint16_t LowestFinalStatus = 200;
-
 // A connection is given up this long before the server closes it, so that no request crosses the
 // close.
 constexpr std::chrono::milliseconds IdleMargin{500};
@@ -180,7 +178,7 @@
     const bool isAttributable = !m_settings.requiresRequestId
                                 || message.find(m_settings.requestIdHeader) != message.end();
     // A body that ends with the connection cannot be told from one that was cut off.
-    if (message.result_int() < LowestFinalStatus || !isAttributable
+    if (!isFinalStatus(message.result_int()) || !isAttributable
         || (message.need_eof() && m_request->request.method != "HEAD"
             && !m_settings.acceptsBodyUntilClose)) {
         fail(BackendErrorCode::Malformed);
--- a/src/libs/http/httptypes.h
+++ b/src/libs/http/httptypes.h
@@ -75,6 +75,15 @@
     std::shared_ptr<CallerPresence> caller = {}; //!< empty outside a connection of a caller
 };
 
+/*! Whether a response with \a status ends its request. RFC 9110 defines the statuses 100 to 599, of
+ * which those below 200 precede the response; no caller can use any other. */
+constexpr bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned Lowest = 200;
+    constexpr unsigned Highest = 599;
+    return Lowest <= status && status <= Highest;
+}
+
 struct HttpResponse
 {
     std::uint16_t status = 200;
--- a/src/libs/relay/requestrelay.cpp
+++ b/src/libs/relay/requestrelay.cpp
@@ -212,6 +212,12 @@
     m_exchanges.erase(found);
     exchange->stream = 0;
     const Base::TimePoint now = steadyNow();
+    // A daemon of another version may pass on a status that callers cannot use.
+    if (response.outcome == Outcome::Answered && !Http::isFinalStatus(response.status)) {
+        log(*exchange, "answer-unusable", "status-" + std::to_string(response.status), "unknown");
+        response = {};
+        response.error = "peer-answer-unusable";
+    }
     const bool isServerError = response.outcome == Outcome::Answered && response.status >= 500;
     const bool hasFailed = response.outcome == Outcome::Unknown || isServerError
                            || response.error == "backend-declined"
--- a/tests/auto/daemon/tst_trafficparts.cpp
+++ b/tests/auto/daemon/tst_trafficparts.cpp
@@ -116,6 +116,7 @@
     response.streamId = streamId;
     response.requestId = "r-0";
     response.outcome = Messages::Outcome::Answered;
+    response.status = 200;
     forwarder.onResponse(C, response);
     EXPECT_EQ(outcome(0), "pending");
     response.requestId = "r-9";
@@ -132,6 +133,27 @@
     EXPECT_EQ(dropped("late"), 1U);
 }
 
+// Guards against an answer with status 000 that reaches a caller: a daemon of another version
+// passed it on from its BackendServer.
+TEST_F(ForwarderTest, aStatusThatCallersCannotUseIsNoAnswer)
+{
+    std::size_t index = 0;
+    for (const std::uint16_t status : {0, 99, 100, 199, 600, 999}) {
+        send(Peer::SendResult::Accepted);
+        Messages::ForwardResponse response;
+        response.streamId = std::get<Messages::ForwardRequest>(links.sent[index]).streamId;
+        response.requestId = "r-" + std::to_string(index);
+        response.outcome = Messages::Outcome::Answered;
+        response.status = status;
+        forwarder.onResponse(B, response);
+        EXPECT_EQ(outcome(index), "unknown") << status;
+        ++index;
+    }
+    EXPECT_EQ(
+        metrics.counter("medlar_dropped_responses_total", "", {{"reason", "unusable"}}).value(),
+        index);
+}
+
 TEST(DrainScope, baseSlotAndHotKeyCoverEachOthersEarlierRequests)
 {
     const std::uint64_t hash = Base::keyHash("hot");
--- a/tests/auto/http/tst_backendclient.cpp
+++ b/tests/auto/http/tst_backendclient.cpp
@@ -314,6 +314,28 @@
     EXPECT_EQ(errorOf(1).code, BackendErrorCode::Malformed);
 }
 
+// Guards against bytes that are passed on as an answer although no caller can use them, such as one
+// with status 000, which servers in trouble have sent.
+TEST_F(BackendClientTest, aResponseWithAMalformedStatusLineIsNoAnswer)
+{
+    const std::string rest = "\r\nMedlar-Request-Id: a\r\nContent-Length: 2\r\n\r\nok";
+    std::size_t index = 0;
+    for (const char *line :
+         {"HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 199 OK",
+          "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 0 OK", "HTTP/1.1 20 OK",
+          "HTTP/1.1 2000 OK", "HTTP/1.1 -01 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK",
+          "HTTP/1.1 OK", "HTTP/1.1", "HTTP/3.0 200 OK", "ICY 200 OK"}) {
+        send("a");
+        ASSERT_TRUE(arrives(index, "a"));
+        backend.connections[index]->write(line + rest);
+        const BackendError error = errorOf(index);
+        EXPECT_EQ(error.code, BackendErrorCode::Malformed) << line;
+        EXPECT_TRUE(error.sent) << "it may have run";
+        EXPECT_EQ(client->idleConnections(), 0U);
+        ++index;
+    }
+}
+
 TEST_F(BackendClientTest, refusedConnectionMeansNotSent)
 {
     backend.close();
--- a/tests/auto/relay/tst_requestrelay.cpp
+++ b/tests/auto/relay/tst_requestrelay.cpp
@@ -155,6 +155,32 @@
     EXPECT_EQ(m_result->answer.status, 200);
 }
 
+// Guards against an answer with status 000 that reaches a caller: a daemon of another version
+// passed it on from its BackendServer.
+TEST_F(RequestRelayTest, aStatusThatCallersCannotUseIsNotPassedOn)
+{
+    {
+        SCOPED_TRACE("an idempotent request goes to another node");
+        begin(true);
+        const std::string first = m_sent.back().node;
+        respondToLast(Outcome::Answered, 0);
+        ASSERT_FALSE(m_result);
+        EXPECT_NE(m_sent.back().node, first);
+        respondToLast(Outcome::Answered, 200);
+        ASSERT_TRUE(m_result);
+        EXPECT_EQ(m_result->answer.status, 200);
+    }
+    for (const std::uint16_t status : {0, 99, 100, 199, 600, 999}) {
+        SCOPED_TRACE("another one may have run with status " + std::to_string(status));
+        m_result.reset();
+        begin(false);
+        respondToLast(Outcome::Answered, status);
+        ASSERT_TRUE(m_result);
+        EXPECT_EQ(m_result->answer.outcome, Outcome::Unknown);
+        EXPECT_EQ(m_result->answer.error, "peer-answer-unusable");
+    }
+}
+
 TEST_F(RequestRelayTest, aDeclinedRequestGoesToAnotherNodeAndIsRefusedAsNotRun)
 {
     begin(false);
