--- a/tests/auto/platform/soak/main.cpp
+++ b/tests/auto/platform/soak/main.cpp
@@ -11,6 +11,7 @@
 DEFINE_uint64(seed, 1, "seed for faults and requests; 0: random seed");
 DEFINE_uint32(seconds, 30, "duration of fault injection in seconds");
 DEFINE_uint32(nodes, 6, "number of daemons; half of them serve keyed backend servers");
+DEFINE_uint32(network, 0, "0 to 255; runs at the same time need different ones");
 DEFINE_string(log_dir, "",
               "folder for the settings and logs of all daemons; empty: a temporary folder");
 
@@ -44,9 +45,10 @@
 
     boost::asio::io_context context;
     Soak::SoakAudit audit;
-    Soak::SoakCluster cluster(
-        context, {seed, FLAGS_nodes, std::string(MEDLAR_BIN) + "/medlard-sidecar", folder.string()},
-        audit);
+    Soak::SoakCluster cluster(context,
+                              {seed, FLAGS_nodes, std::string(MEDLAR_BIN) + "/medlard-sidecar",
+                               folder.string(), FLAGS_network},
+                              audit);
     const auto runFor = [&context](std::chrono::seconds time) {
         context.restart();
         context.run_for(time);
@@ -58,8 +60,8 @@
     cluster.startFaults();
     runFor(std::chrono::seconds(FLAGS_seconds));
     cluster.stopFaults();
-    // Faults injected before the stop can last up to five more seconds.
-    runFor(5s + RecoveryTime);
+    // Faults injected before the stop can last up to six more seconds.
+    runFor(6s + RecoveryTime);
     const Base::TimePoint measuredFrom = Base::steadyNow();
     runFor(MeasurementTime);
     const double served = audit.servedShareSince(measuredFrom);
--- a/tests/auto/platform/soak/soakbackend.cpp
+++ b/tests/auto/platform/soak/soakbackend.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint16_t Misdirected = 421;
 constexpr std::uint16_t Unavailable = 503;
 constexpr unsigned RequestsPerRefusal = 12;
+constexpr std::size_t MaxSentHeartbeats = 12;
 
 // Increases with every start, so that heartbeats and grants from before a restart are
 // distinguishable.
@@ -176,14 +177,21 @@
     expireHolds();
     const Base::TimePoint sentAt = steadyNow();
     const std::size_t reportedCount = m_freed.size();
-    Http::BackendRequest call;
-    call.request.method = "POST";
-    call.request.target = "/api/Instances.Heartbeat/" + m_id;
-    call.request.body = heartbeatBody();
-    call.request.headers = {{"Content-Type", "application/json"}};
-    call.deadline = sentAt + HeartbeatTimeout;
-    call.done = [this, sentAt, reportedCount,
-                 incarnation = m_incarnation](const Http::BackendResult &result) {
+    const std::string body = heartbeatBody();
+    m_sentHeartbeats.push_back(body);
+    if (m_sentHeartbeats.size() > MaxSentHeartbeats)
+        m_sentHeartbeats.pop_front();
+    if (m_heartbeatDelay.count() > 0) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_heartbeatDelay);
+        timer->async_wait([this, timer, body](const boost::system::error_code &error) {
+            if (!error && isUp())
+                post(body, [](const Http::BackendResult &) {});
+        });
+        scheduleHeartbeat(HeartbeatTimeout);
+        return;
+    }
+    post(body, [this, sentAt, reportedCount,
+                incarnation = m_incarnation](const Http::BackendResult &result) {
         if (!isUp() || incarnation != m_incarnation)
             return;
         if (result && result->status == 200) {
@@ -195,10 +203,29 @@
         const bool isReleasing = std::any_of(m_holds.begin(), m_holds.end(),
                                              [](const Hold &hold) { return hold.freedAt; });
         scheduleHeartbeat(isReleasing ? ReleaseHeartbeatInterval : HeartbeatInterval);
-    };
+    });
+}
+
+void SoakBackend::post(const std::string &body,
+                       std::function<void(const Http::BackendResult &)> done)
+{
+    Http::BackendRequest call;
+    call.request.method = "POST";
+    call.request.target = "/api/Instances.Heartbeat/" + m_id;
+    call.request.body = body;
+    call.request.headers = {{"Content-Type", "application/json"}};
+    call.deadline = steadyNow() + HeartbeatTimeout;
+    call.done = std::move(done);
     m_daemon->send(std::move(call));
 }
 
+void SoakBackend::sendOldHeartbeat()
+{
+    if (isUp() && !m_sentHeartbeats.empty())
+        post(m_sentHeartbeats[m_random() % m_sentHeartbeats.size()],
+             [](const Http::BackendResult &) {});
+}
+
 void SoakBackend::sendForeignHeartbeat()
 {
     if (!isUp())
@@ -225,14 +252,7 @@
     default:
         body["service"] = "no-such-service";
     }
-    Http::BackendRequest call;
-    call.request.method = "POST";
-    call.request.target = "/api/Instances.Heartbeat/" + m_id;
-    call.request.body = body.dump();
-    call.request.headers = {{"Content-Type", "application/json"}};
-    call.deadline = steadyNow() + HeartbeatTimeout;
-    call.done = [](const Http::BackendResult &) {};
-    m_daemon->send(std::move(call));
+    post(body.dump(), [](const Http::BackendResult &) {});
 }
 
 void SoakBackend::onHeartbeatResponse(Base::TimePoint sentAt, const std::string &body)
--- a/tests/auto/platform/soak/soakbackend.h
+++ b/tests/auto/platform/soak/soakbackend.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -41,9 +42,14 @@
     /*! Sends the daemon a heartbeat as another writer could: a field is missing, of another type,
      * or names what does not exist, and the others differ from those of this backend server. */
     void sendForeignHeartbeat();
+    /*! Sends a copy of one of the last heartbeats again; its answer is ignored. */
+    void sendOldHeartbeat();
+    /*! Heartbeats that are sent from now on arrive later by \a delay. */
+    void setHeartbeatDelay(std::chrono::milliseconds delay) { m_heartbeatDelay = delay; }
     bool isUp() const { return m_server != nullptr; }
     /*! Whether a request for \a key would be executed now. */
     bool holds(KeyRange::Key key) const;
+    const std::string &zone() const { return m_settings.zone; }
     /*! Called before a keyed request is executed. */
     std::function<void(const SoakBackend &, KeyRange::Key)> onKeyedRun;
     const std::string &id() const { return m_id; }
@@ -60,6 +66,7 @@
     void onRequest(const Http::HttpRequest &request, const Http::Reply &reply);
     void sendHeartbeat();
     void scheduleHeartbeat(std::chrono::milliseconds delay);
+    void post(const std::string &body, std::function<void(const Http::BackendResult &)> done);
     void onHeartbeatResponse(Base::TimePoint sentAt, const std::string &body);
     void expireHolds();
     std::string heartbeatBody();
@@ -76,6 +83,8 @@
     std::uint64_t m_sequence = 0;
     std::vector<Hold> m_holds;
     std::vector<KeyRange::FreedRange> m_freed;
+    std::deque<std::string> m_sentHeartbeats; //!< the last ones, also of former incarnations
+    std::chrono::milliseconds m_heartbeatDelay{0};
 };
 
 } // namespace Medlar::Platform::Soak
--- a/tests/auto/platform/soak/soakcluster.cpp
+++ b/tests/auto/platform/soak/soakcluster.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -20,7 +21,7 @@
 // Each node has its own loopback address, so that all nodes use the same ports, as on the platform.
 constexpr int FirstHost = 20;
 // Shared by all nodes: the daemons of a deployment are configured with the same store address.
-constexpr char StoreAddress[] = "127.0.0.10";
+constexpr int StoreHost = 10;
 constexpr std::uint16_t CallerPort = 8304;
 constexpr std::uint16_t ReadyPort = 8302;
 constexpr std::uint16_t HeartbeatPort = 8306;
@@ -35,6 +36,10 @@
 constexpr milliseconds CallInterval{25};
 constexpr milliseconds CallDeadline{1200};
 constexpr milliseconds ProcessCheckInterval{50};
+constexpr milliseconds OwnerCheckInterval{50};
+constexpr KeyRange::Key KeySampleInterval = 1024;
+// The platform's rules allow two backend servers to hold a key for this long.
+constexpr milliseconds MaxDoubleHold{500};
 
 json rule(const std::string &name, const std::string &prefix, const char *service, const char *kind)
 {
@@ -89,7 +94,7 @@
     , m_audit(audit)
     , m_random(settings.seed)
     , m_store(context)
-    , m_storeProxy(context, endpoint(StoreAddress, StoreProxyPort),
+    , m_storeProxy(context, endpoint(address(StoreHost), StoreProxyPort),
                    endpoint("127.0.0.1", m_store.port()))
 {
     m_store.put("config", "main", configuration(1));
@@ -98,7 +103,7 @@
         const std::string region = "r" + std::to_string(i % 3);
         const std::string zone = region + "-a";
         node->name = "soak-" + std::to_string(i);
-        node->address = "127.0.0." + std::to_string(FirstHost + static_cast<int>(i));
+        node->address = address(FirstHost + static_cast<int>(i));
         node->isKeyed = i < settings.nodes / 2;
         node->settingsFile = settings.folder + '/' + node->name + ".json";
         node->backendProxy
@@ -120,25 +125,24 @@
         };
         const auto at
             = [&node](std::uint16_t port) { return node->address + ':' + std::to_string(port); };
-        const json file
-            = {{"node-name", node->name},
-               {"ip", node->address},
-               {"zone", zone},
-               {"region", region},
-               {"service", service},
-               {"app-addr", at(BackendProxyPort)},
-               {"listen-addrs",
-                {{"inbound", at(InboundPort)},
-                 {"outbound", at(CallerPort)},
-                 {"ready", at(ReadyPort)},
-                 {"control-plane", at(HeartbeatPort)}}},
-               {"inner-port-range", {FirstInnerPort, LastInnerPort}},
-               {"beat-interval-s", 0.4},
-               {"limits", {{"max-fds", 4100}}},
-               {"bounds", {"hold-max-s=10", "grace-s=6"}},
-               {"platform",
-                {{"address", std::string(StoreAddress) + ':' + std::to_string(StoreProxyPort)},
-                 {"value-bytes", 1048576}}}};
+        const json file = {{"node-name", node->name},
+                           {"ip", node->address},
+                           {"zone", zone},
+                           {"region", region},
+                           {"service", service},
+                           {"app-addr", at(BackendProxyPort)},
+                           {"listen-addrs",
+                            {{"inbound", at(InboundPort)},
+                             {"outbound", at(CallerPort)},
+                             {"ready", at(ReadyPort)},
+                             {"control-plane", at(HeartbeatPort)}}},
+                           {"inner-port-range", {FirstInnerPort, LastInnerPort}},
+                           {"beat-interval-s", 0.4},
+                           {"limits", {{"max-fds", 4100}}},
+                           {"bounds", {"hold-max-s=10", "grace-s=6"}},
+                           {"platform",
+                            {{"address", address(StoreHost) + ':' + std::to_string(StoreProxyPort)},
+                             {"value-bytes", 1048576}}}};
         std::ofstream(node->settingsFile) << file.dump(2);
         Http::BackendClientSettings client;
         client.address = node->address;
@@ -152,6 +156,11 @@
 
 SoakCluster::~SoakCluster() = default;
 
+std::string SoakCluster::address(int host) const
+{
+    return "127.0." + std::to_string(m_settings.network) + '.' + std::to_string(host);
+}
+
 void SoakCluster::log(const std::string &text) const
 {
     std::cout << "event=soak " << text << '\n';
@@ -178,6 +187,22 @@
         node->backend->start();
         watchProcess(*node);
     }
+    watchOwners();
+}
+
+void SoakCluster::watchOwners()
+{
+    const Base::TimePoint now = steadyNow();
+    for (KeyRange::Key key = 0; key <= KeyRange::LastKey; key += KeySampleInterval) {
+        const auto holders = std::count_if(m_nodes.begin(), m_nodes.end(), [key](const auto &node) {
+            return node->isKeyed && node->backend->holds(key);
+        });
+        if (holders < 2)
+            m_doublyHeldSince.erase(key);
+        else if (now - m_doublyHeldSince.try_emplace(key, now).first->second > MaxDoubleHold)
+            m_audit.onViolation("owner", "key " + std::to_string(key) + " is held twice");
+    }
+    runAfter(OwnerCheckInterval, [this] { watchOwners(); });
 }
 
 void SoakCluster::startProcess(Node &node)
@@ -198,7 +223,11 @@
 {
     if (!node.isStarting && (!node.process || !node.process->isRunning())) {
         node.isStarting = true;
-        runAfter(randomDuration(100, 800), [this, &node] { startProcess(node); });
+        runAfter(randomDuration(100, 800), [this, &node] {
+            startProcess(node);
+            if (m_random() % 2 == 0)
+                runAfter(randomDuration(20, 300), [&node] { node.backend->sendOldHeartbeat(); });
+        });
     }
     runAfter(ProcessCheckInterval, [this, &node] { watchProcess(node); });
 }
@@ -256,7 +285,7 @@
     if (!m_isInjectingFaults)
         return;
     Node &node = *m_nodes[m_random() % m_nodes.size()];
-    switch (m_random() % 5) {
+    switch (m_random() % 7) {
     case 0:
         injectStoreFault();
         break;
@@ -266,6 +295,12 @@
     case 2:
         injectBackendFault(node);
         break;
+    case 3:
+        injectHeartbeatFault(node);
+        break;
+    case 4:
+        evacuate(node.backend->zone());
+        break;
     default:
         injectProcessFault(node);
     }
@@ -324,9 +359,31 @@
     runAfter(randomDuration(300, 4000), [&node] { node.backendProxy->setMode(ProxyMode::Pass); });
 }
 
+// Heartbeats that are later than a lease arrive after the keys have moved.
+void SoakCluster::injectHeartbeatFault(Node &node)
+{
+    const milliseconds delay = randomDuration(50, 6000);
+    log("fault=heartbeats node=" + node.name + " ms=" + std::to_string(delay.count()));
+    node.backend->setHeartbeatDelay(delay);
+    runAfter(randomDuration(500, 4000),
+             [&node] { node.backend->setHeartbeatDelay(milliseconds(0)); });
+}
+
+void SoakCluster::evacuate(const std::string &zone)
+{
+    if (!m_evacuatedZones.insert(zone).second)
+        return;
+    log("fault=evacuation zone=" + zone);
+    m_store.put("evacuations", zone, json::object());
+    runAfter(randomDuration(500, 6000), [this, zone] {
+        m_store.remove("evacuations", zone);
+        m_evacuatedZones.erase(zone);
+    });
+}
+
 void SoakCluster::injectProcessFault(Node &node)
 {
-    const auto kind = m_random() % 5;
+    const auto kind = m_random() % 6;
     log("fault=process node=" + node.name + " kind=" + std::to_string(kind));
     if (kind == 4) {
         node.backend->crash();
@@ -336,6 +393,13 @@
         });
         return;
     }
+    if (kind == 5) {
+        for (const auto &each : m_nodes) {
+            if (each->process && each->process->isRunning())
+                each->process->signal(SIGKILL);
+        }
+        return;
+    }
     if (!node.process || !node.process->isRunning())
         return;
     if (kind == 0) {
--- a/tests/auto/platform/soak/soakcluster.h
+++ b/tests/auto/platform/soak/soakcluster.h
@@ -11,8 +11,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,9 +23,10 @@
 struct SoakSettings
 {
     std::uint64_t seed = 1;
-    std::size_t nodes = 6; //!< half of them with keyed backend servers
-    std::string program;   //!< path of the daemon executable
-    std::string folder;    //!< for settings files and logs
+    std::size_t nodes = 6;     //!< half of them with keyed backend servers
+    std::string program;       //!< path of the daemon executable
+    std::string folder;        //!< for settings files and logs
+    std::uint32_t network = 0; //!< third number of all addresses; differs between runs at a time
 };
 
 /*! Runs daemon processes with a store, backend servers and callers, and injects faults. */
@@ -45,15 +48,20 @@
 
     void startProcess(Node &node);
     void watchProcess(Node &node);
+    void watchOwners();
     void call(Node &node);
     void injectFault();
     void injectStoreFault();
     void injectProcessFault(Node &node);
     void injectConnectionFault(Node &node);
     void injectBackendFault(Node &node);
+    void injectHeartbeatFault(Node &node);
+    void evacuate(const std::string &zone);
     void runAfter(std::chrono::milliseconds delay, std::function<void()> action);
     std::chrono::milliseconds randomDuration(int minMs, int maxMs);
     void log(const std::string &text) const;
+    /*! The loopback address with the last number \a host. */
+    std::string address(int host) const;
 
     boost::asio::io_context &m_context;
     SoakSettings m_settings;
@@ -62,6 +70,8 @@
     Platform::PlatformStandin m_store;
     FaultProxy m_storeProxy;
     std::vector<std::unique_ptr<Node>> m_nodes;
+    std::map<KeyRange::Key, Base::TimePoint> m_doublyHeldSince; //!< sampled keys only
+    std::set<std::string> m_evacuatedZones;
     std::uint64_t m_lastRequest = 0;
     bool m_isCalling = false;
     bool m_isInjectingFaults = false;
