KeyRange: Serve moving ranges after a restart until their move is safe

Their leases had expired and the planner had set successors, but the new process waited 4.33 s for leases that a former process might have granted.

Cause: nothing that the backend server reported could prove that no lease was left, since it held nothing and so had nothing to release.

Change: a range that is to move and may still be leased is raised to an epoch of the new process, keeps its successor and is granted on its VM. The report that names it was sent after the start, so it also proves which other leases remain, and the range is released and moves with its handover token.

--- a/src/libs/keyrange/formerleases.cpp
+++ b/src/libs/keyrange/formerleases.cpp
@@ -4,7 +4,8 @@
 
 namespace Medlar::KeyRange {
 
-void FormerLeases::onReport(Base::TimePoint now, const HeldReport &report)
+void FormerLeases::onReport(Base::TimePoint now, const HeldReport &report,
+                            std::optional<Epoch> lastEpoch)
 {
     if (now >= m_end) {
         m_held.clear();
@@ -17,6 +18,12 @@
     }
     addReleases(report);
     addHeld(report);
+    m_areAllReported = m_areAllReported
+                       || (lastEpoch
+                           && std::any_of(report.held.begin(), report.held.end(),
+                                          [lastEpoch](const HeldRange &held) {
+                                              return epochOf(held.token) > *lastEpoch;
+                                          }));
 }
 
 void FormerLeases::addReleases(const HeldReport &report)
@@ -50,7 +57,7 @@
 
 bool FormerLeases::mayCover(Base::TimePoint now, const RangeRow &row) const
 {
-    return now < m_end && !m_released.cover(row);
+    return now < m_end && !m_areAllReported && !m_released.cover(row);
 }
 
 } // namespace Medlar::KeyRange
--- a/src/libs/keyrange/rangekeeper.cpp
+++ b/src/libs/keyrange/rangekeeper.cpp
@@ -186,7 +186,7 @@
 
 std::optional<LeaseGrant> RangeKeeper::onHeartbeat(Base::TimePoint now, const HeldReport &report)
 {
-    m_formerLeases.onReport(now, report);
+    m_formerLeases.onReport(now, report, m_confirmedAt ? m_inheritedEpoch : std::nullopt);
     applyReport(report);
     dropReleased(report);
     m_grants.erase(std::remove_if(m_grants.begin(), m_grants.end(),
@@ -209,8 +209,8 @@
         = now + scaled(hold, 1.0 + m_timing.drift) + m_timing.margin / 2;
     std::vector<Grant> grants;
     for (const RangeRow &row : m_table->rows()) {
-        if (row.owner != m_self || !row.successor.empty() || needsNewEpoch(row)
-            || !isFree(now, row.range))
+        const bool isServed = row.successor.empty() || isServedUntilMove(now, row);
+        if (row.owner != m_self || !isServed || needsNewEpoch(row) || !isFree(now, row.range))
             continue;
         response.ranges.push_back(
             {row.range, tokenOf(row), isReported(row.range) ? HandoverToken() : row.handover});
@@ -312,6 +312,24 @@
                || (m_rules.waitsForFormerLeases && m_formerLeases.mayCover(now, row)));
 }
 
+// A range that stays on this VM does not wait for leases of a former process, since the VM hosts
+// one BackendServer. One that is to move is served again only if it has to wait for them.
+bool RangeKeeper::mustRaiseEpoch(Base::TimePoint now, const RangeRow &row) const
+{
+    const bool isServed = row.successor.empty()
+                          || (m_rules.waitsForFormerLeases && m_formerLeases.mayCover(now, row));
+    return row.owner == m_self && m_hasBackend && isServed && needsNewEpoch(row)
+           && !(m_rules.waitsForRelease && isGranted(now, row.range));
+}
+
+// While leases of a former process may cover a range that is to move, it is granted under an epoch
+// of this process. Its keys are served meanwhile, and the next report proves which leases remain.
+bool RangeKeeper::isServedUntilMove(Base::TimePoint now, const RangeRow &row) const
+{
+    return m_rules.waitsForFormerLeases && m_formerLeases.mayCover(now, row) && m_confirmedAt
+           && row.epoch > *m_inheritedEpoch;
+}
+
 std::optional<RangeTable> RangeKeeper::wantedTable(Base::TimePoint now) const
 {
     if (!m_table)
@@ -328,18 +346,15 @@
         const bool mayTakeOver
             = succession != m_successions.end()
               && (now >= succession->second + takeoverDelay || !m_rules.waitsBeforeTakeover);
-        // The range stays on this VM, which hosts one BackendServer, so leases of a former process
-        // need not expire first.
-        const bool mustRaiseEpoch = isOwn && row.successor.empty() && m_hasBackend
-                                    && needsNewEpoch(row)
-                                    && !(m_rules.waitsForRelease && isGranted(now, row.range));
         if (mayHandOver) {
             for (RangeRow &piece : rowsAfterHandover(row)) {
                 piece.epoch = nextEpoch;
                 rows.push_back(std::move(piece));
             }
-        } else if (mayTakeOver || mustRaiseEpoch) {
+        } else if (mayTakeOver) {
             rows.push_back({row.range, m_self, nextEpoch, {}, {}});
+        } else if (mustRaiseEpoch(now, row)) {
+            rows.push_back({row.range, m_self, nextEpoch, row.successor, {}});
         } else {
             rows.push_back(row);
             continue;
--- a/src/libs/keyrange/rangekeeper.h
+++ b/src/libs/keyrange/rangekeeper.h
@@ -122,6 +122,8 @@
     bool isGranted(Base::TimePoint now, const Range &range) const;
     bool mayBeHeld(Base::TimePoint now, const RangeRow &row) const;
     bool needsNewEpoch(const RangeRow &row) const;
+    bool mustRaiseEpoch(Base::TimePoint now, const RangeRow &row) const;
+    bool isServedUntilMove(Base::TimePoint now, const RangeRow &row) const;
     void applyReport(const HeldReport &report);
     void addReleases(const HeldReport &report);
     void addReportedLeases(Base::TimePoint now, const HeldReport &report);
--- a/tests/auto/keyrange/rangecluster.cpp
+++ b/tests/auto/keyrange/rangecluster.cpp
@@ -105,6 +105,7 @@
             next.push_back({range.range, range.token, expiresAt, {}, false});
     }
     std::vector<Range> granted;
+    granted.reserve(next.size());
     for (const Lease &lease : next)
         granted.push_back(lease.range);
     for (const Lease &lease : leases) {
--- a/tests/auto/keyrange/tst_formerleases.cpp
+++ b/tests/auto/keyrange/tst_formerleases.cpp
@@ -218,17 +218,54 @@
         keeper.onTable(Start + 350ms, 2, *wanted);
         EXPECT_EQ(keeper.onHeartbeat(Start + 400ms, report(2))->ranges.size(), 2U);
 
-        SCOPED_TRACE("whose grant nobody received, and a move waits for the former lease");
+        SCOPED_TRACE("whose grant nobody received, so a move waits for both leases");
         auto rows = wanted->rows();
         rows.front().successor = "b";
         keeper.onTable(Start + 500ms, 3, *RangeTable::create(rows, wanted->lastEpoch()));
         keeper.onHeartbeat(Start + 600ms, report(3));
         keeper.onHeartbeat(Start + 700ms, report(4));
         EXPECT_FALSE(KeyRange::isHandedOver(keeper, 700ms));
-        EXPECT_TRUE(KeyRange::isHandedOver(keeper, LongestLease));
+        EXPECT_FALSE(KeyRange::isHandedOver(keeper, LongestLease - 1ms));
+        EXPECT_TRUE(KeyRange::isHandedOver(keeper, 700ms + LongestLease));
     }
 }
 
+// Guards against keys that nobody serves for seconds: a daemon was down until the leases had
+// expired and successors were planned, and its ranges waited for leases that had ended.
+TEST_F(FormerLeasesTest, rangesThatAreToMoveAreServedUntilTheReportsProveThatTheyMay)
+{
+    beat(300ms, report(30));
+    const auto raised = m_keeper.wantedTable(Start + 300ms);
+    ASSERT_TRUE(raised);
+    EXPECT_EQ(raised->row(Moving.first).owner, "a");
+    EXPECT_EQ(raised->row(Moving.first).successor, "b");
+    EXPECT_GT(raised->row(Moving.first).epoch, FormerEpoch);
+    learnTable(*raised);
+
+    const auto grant = m_keeper.onHeartbeat(Start + 1200ms, report(31));
+    ASSERT_EQ(grant->ranges.size(), 2U);
+    EXPECT_FALSE(isHandedOver(1200ms));
+    EXPECT_TRUE(m_keeper.isHeld(Start + 1200ms, Moving.first));
+    const HeldRange moving{Moving, grant->ranges[0].token};
+    const HeldRange staying{Staying, grant->ranges[1].token};
+    {
+        SCOPED_TRACE("a report that is older than this grant proves nothing");
+        RangeKeeper other = m_keeper;
+        other.onHeartbeat(Start + 1300ms, report(32));
+        EXPECT_FALSE(KeyRange::isHandedOver(other, 1300ms));
+    }
+    {
+        SCOPED_TRACE("one that names it withdraws the range");
+        const auto next = m_keeper.onHeartbeat(Start + 2100ms, report(32, {moving, staying}));
+        ASSERT_EQ(next->ranges.size(), 1U);
+        EXPECT_EQ(next->ranges[0].range, Staying);
+        EXPECT_FALSE(isHandedOver(2100ms));
+    }
+    beat(2200ms, report(33, {staying}, {{Moving, "handover"}}));
+    ASSERT_TRUE(isHandedOver(2200ms));
+    EXPECT_EQ(m_keeper.wantedTable(Start + 2200ms)->row(0).handover, "handover");
+}
+
 // Guards against a wait that ends early because it began before the table was known.
 TEST(FormerLeases, countWhenTheTableIsKnownAfterTheFirstHeartbeat)
 {
--- a/tests/auto/platform/tst_keyservice.cpp
+++ b/tests/auto/platform/tst_keyservice.cpp
@@ -235,14 +235,17 @@
             beat();
         list("permits", 5, tableText(1, Self, Other));
         beat();
-        beat();
-        EXPECT_TRUE(m_store.writes.empty()) << m_store.writes.front().value;
+        ASSERT_EQ(m_store.writes.size(), 1U) << "the keys are served under a new epoch";
+        EXPECT_EQ(RangeTable::parse(m_store.writes.front().value)->row(1234).owner, Self);
+        m_store.writes.front().callback(6);
+        EXPECT_TRUE(json::parse(beat()).contains("holds"));
+        EXPECT_EQ(m_store.writes.size(), 1U) << m_store.writes.back().value;
 
-        SCOPED_TRACE("the keys move when these leases have run out, without another heartbeat");
+        SCOPED_TRACE("the keys move when all leases have run out, without another heartbeat");
         m_context.restart();
         m_context.run_for(FormerLeaseTime);
-        ASSERT_EQ(m_store.writes.size(), 1U);
-        EXPECT_EQ(RangeTable::parse(m_store.writes.front().value)->row(1234).owner, Other);
+        ASSERT_EQ(m_store.writes.size(), 2U);
+        EXPECT_EQ(RangeTable::parse(m_store.writes.back().value)->row(1234).owner, Other);
     }
 }
 
