Tests: Follow an answer with status 000 to the caller on each way

CallerListenerTest and RequestPathTest send it as another daemon could, through the sockets of medlard-sidecar and medlard, the latter on plain and compressed links; the caller gets 502 and 504.

--- a/tests/auto/daemon/tst_requestpath.cpp
+++ b/tests/auto/daemon/tst_requestpath.cpp
@@ -113,6 +113,50 @@
     EXPECT_TRUE(until([&] { return dropped("late") == 3 && dropped("mismatched") == 1; }));
 }
 
+// Guards against an answer with status 000 that reaches a caller: a daemon of another version
+// passed it on from its BackendServer, on a link with or without compression.
+TEST_F(RequestPathTest, aStatusThatCallersCannotUseReachesNoCaller)
+{
+    Node &a = addNode(A);
+    NullSink sink;
+    for (const bool wantsCompression : {false, true}) {
+        SCOPED_TRACE(wantsCompression ? "compressed link" : "plain link");
+        std::vector<Messages::ForwardRequest> requests;
+        Peer::PeerLinksSettings settings;
+        settings.self = {B.node, B.incarnation + (wantsCompression ? 1 : 0)};
+        settings.credential = "secret";
+        settings.wantsCompression = wantsCompression;
+        Peer::PeerCallbacks callbacks;
+        callbacks.onMessage = [&requests](const InstanceId &, Messages::PeerMessage &&message) {
+            requests.push_back(std::get<Messages::ForwardRequest>(message));
+        };
+        auto peer = Peer::PeerLinks::create(context, settings, callbacks, sink);
+        ASSERT_TRUE(peer);
+        auto snapshot = snapshotFor(a, settings.self, 5);
+        Cluster::NodeRecord record = a.record;
+        record.instance = settings.self;
+        record.trafficPort = (*peer)->port();
+        snapshot->nodes[settings.self] = record;
+        a.traffic->publish(snapshot);
+
+        auto client = caller(a);
+        client->send("POST", "/r/shop/items", KeyHeader + "Medlar-Request-Id: r-1\r\n");
+        ASSERT_TRUE(until([&] { return requests.size() == 1; })) << client->received();
+        (*peer)->send(A, Messages::ForwardResponse{requests[0].streamId,
+                                                   "r-1",
+                                                   Messages::Outcome::Answered,
+                                                   0,
+                                                   {},
+                                                   0,
+                                                   {},
+                                                   "bytes of no answer"});
+        ASSERT_TRUE(until([&] { return client->has("\"error\""); })) << client->received();
+        EXPECT_EQ(client->status(), "504");
+        EXPECT_TRUE(client->has("Medlar-Outcome: unknown")) << client->received();
+        EXPECT_FALSE(client->has("bytes of no answer")) << client->received();
+    }
+}
+
 TEST_F(RequestPathTest, requestIsNotSentAfterTheLeaseEnded)
 {
     Node &a = addNode(A);
--- a/tests/auto/platform/tst_callerlistener.cpp
+++ b/tests/auto/platform/tst_callerlistener.cpp
@@ -75,9 +75,20 @@
     BackendHeaders m_dialect;
     Relay::FleetView m_fleet{"self", {"10.0.0.1", 1, "north", "north-a"}};
     Relay::LocalBackend m_local{m_context, {}, m_dialect, {}, m_log, m_metrics};
-    Relay::RequestRelay m_relay{
-        m_context, m_fleet, m_local,  Relay::PlaceChooser("north", "north-a", 1),
-        {},        m_log,   m_metrics};
+    std::vector<Messages::ForwardRequest> m_sent; //!< to other nodes
+    Relay::RequestRelay m_relay{m_context,
+                                m_fleet,
+                                m_local,
+                                Relay::PlaceChooser("north", "north-a", 1),
+                                {{},
+                                 [this](const std::string &, const Messages::PeerMessage &message) {
+                                     if (const auto *const request
+                                         = std::get_if<Messages::ForwardRequest>(&message))
+                                         m_sent.push_back(*request);
+                                     return true;
+                                 }},
+                                m_log,
+                                m_metrics};
     Relay::AccountRates m_rates{
         m_context, m_fleet,
         [](const std::string &, const Messages::PeerMessage &) { return false; }, m_log, m_metrics};
@@ -111,6 +122,37 @@
         EXPECT_EQ(text.find("secretkey"), std::string::npos) << text;
 }
 
+// Guards against an answer with status 000 that reaches a client or a calling service: a daemon of
+// another version passed it on from its BackendServer.
+TEST_F(CallerListenerTest, aStatusThatCallersCannotUseReachesNoCaller)
+{
+    m_listener->confirmRoutes();
+    const Base::TimePoint now = std::chrono::steady_clock::now();
+    m_fleet.setRegistered("one", {"10.0.0.2", 1, "north", "north-a"});
+    m_fleet.setLinked(now, "one", true);
+    Messages::NodeStatus status;
+    status.service = "catalog";
+    status.backend = "i-1/1";
+    status.state = Messages::BackendState::Ready;
+    status.slots = 6;
+    m_fleet.onStatus(now, "one", status);
+
+    m_client->send(request("c1", "secretkey1"));
+    ASSERT_TRUE(Http::runUntil(m_context, [&] { return m_sent.size() == 1; }));
+    Messages::ForwardResponse response;
+    response.streamId = m_sent[0].streamId;
+    response.requestId = "c1";
+    response.outcome = Messages::Outcome::Answered;
+    response.headers = {{Header::Signature, "seal"}};
+    response.body = "bytes of no answer";
+    m_relay.onResponse("one", response);
+    ASSERT_TRUE(Http::runUntil(
+        m_context, [&] { return m_client->received().find('}') != std::string::npos; }));
+    EXPECT_EQ(m_client->received().rfind("HTTP/1.1 502 ", 0), 0U) << m_client->received();
+    for (const char *text : {"seal", "bytes of no answer"})
+        EXPECT_EQ(m_client->received().find(text), std::string::npos) << text;
+}
+
 // Guards against requests beyond the limit that are forwarded, and a refusal without a usable
 // delay.
 TEST_F(CallerListenerTest, answers429BeyondTheLimit)
