--- a/review/lib-3/http.h
+++ b/review/lib-3/http.h
@@ -150,8 +150,7 @@
     };
     auto state = std::make_shared<Call>(context);
     state->request = std::move(request);
-    if (state->request.method() != http::verb::trace) // prepared by the caller
-        state->request.prepare_payload();
+    state->request.prepare_payload();
     state->parser.body_limit(16U << 20U);
     state->done = std::move(done);
     state->stream.expires_after(timeout);
